Add the path of a request from end to end through separate processes

A daemon reads the operators' objects from the platform, authenticates a chat completion, chooses engines that cover every layer, runs one step per stage and token, and streams the answer. Control state is changed on one thread; streams run on traffic threads; decisions import no encoding (ArchitectureTest).

--- /dev/null
+++ b/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Thin main classes: the router daemon and the operators' command line.
+ */
+package org.mulberrycross.daemon;
--- /dev/null
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineMain.java
@@ -0,0 +1,48 @@
+package org.mulberrycross.standins.engine;
+
+import java.io.IOException;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.http.HttpListener;
+import org.mulberrycross.standins.CommandLines;
+
+/**
+ * Runs an engine stand-in.
+ */
+public final class EngineMain {
+
+	private static final int WORKER_THREADS = 8;
+
+	private EngineMain() {
+	}
+
+	/**
+	 * Runs the engine until the process is ended.
+	 * @param arguments see the options
+	 * @throws IOException if the port cannot be bound
+	 * @throws InterruptedException if the main thread is interrupted
+	 */
+	public static void main(String[] arguments) throws IOException, InterruptedException {
+		Options options = new Options().addOption(null, "port", true, "port on 127.0.0.1")
+			.addOption(null, "first-layer", true, "first layer")
+			.addOption(null, "end-layer", true, "layer after the last one")
+			.addOption(null, "model-layers", true, "layers of the whole model")
+			.addOption(null, "version", true, "model version")
+			.addOption(null, "batch", true, "largest batch")
+			.addOption(null, "step-micros", true, "time of one batch in microseconds");
+		CommandLine line = CommandLines.parse(options, arguments);
+		int end = CommandLines.number(line, "end-layer", 1);
+		EngineStandin engine = new EngineStandin(new LayerRange(CommandLines.number(line, "first-layer", 0), end),
+				CommandLines.number(line, "model-layers", end), line.getOptionValue("version", "v1"),
+				CommandLines.number(line, "batch", 32), CommandLines.number(line, "step-micros", 2000));
+		HttpListener listener = new HttpListener("127.0.0.1", CommandLines.number(line, "port", 0), WORKER_THREADS);
+		listener.route(new EngineHandler(engine), "/");
+		listener.start();
+		System.out.println("engine listens on " + listener.port());
+		listener.awaitClose();
+	}
+
+}
--- /dev/null
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for a model engine.
+ */
+package org.mulberrycross.standins.engine;
--- /dev/null
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectHandler.java
@@ -0,0 +1,125 @@
+package org.mulberrycross.standins.platform;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+
+import org.mulberrycross.http.HttpMessages;
+import org.mulberrycross.http.Json;
+import org.mulberrycross.platform.ObjectPage;
+import org.mulberrycross.platform.StoredObject;
+import org.mulberrycross.platform.WatchResult;
+import org.mulberrycross.platform.http.ObjectMessages;
+
+/**
+ * HTTP interface of the object API. Thread-safe.
+ */
+public final class ObjectHandler extends HttpHandler {
+
+	private static final String PREFIX = "/objects/";
+
+	private static final int MAX_VALUE_BYTES = 1 << 20;
+
+	private final ObjectTable table;
+
+	/**
+	 * Creates a handler.
+	 * @param table the objects to serve, not null
+	 */
+	public ObjectHandler(ObjectTable table) {
+		this.table = table;
+	}
+
+	@Override
+	public void service(Request request, Response response) throws IOException {
+		String path = request.getDecodedRequestURI();
+		if (!path.startsWith(PREFIX)) {
+			collection(request, response);
+			return;
+		}
+		String key = path.substring(PREFIX.length());
+		switch (request.getMethod().getMethodString()) {
+			case "GET" -> read(key, response);
+			case "PUT" -> write(key, request, response);
+			case "DELETE" -> delete(key, request, response);
+			default -> HttpMessages.reply(response, 405, Map.of("error", "method not allowed"));
+		}
+	}
+
+	private void collection(Request request, Response response) throws IOException {
+		Set<String> kinds = Set.of(request.getParameter("kinds").split(","));
+		if (request.getParameter("watch") != null) {
+			WatchResult result = this.table.watch(kinds, Long.parseLong(request.getParameter("watch")),
+					Duration.ofMillis(Long.parseLong(request.getParameter("timeout-ms"))));
+			HttpMessages.reply(response, 200,
+					new ObjectMessages.Changes(result.revision(),
+							result.changes()
+								.stream()
+								.map((change) -> new ObjectMessages.Item(change.key(), change.version(),
+										change.object().map(ObjectHandler::value)))
+								.toList(),
+							result.compacted()));
+			return;
+		}
+		ObjectPage page = this.table.list(kinds, Optional.ofNullable(request.getParameter("after")).orElse(""),
+				Integer.parseInt(request.getParameter("limit")));
+		HttpMessages.reply(response, 200, new ObjectMessages.Page(page.revision(), page.objects()
+			.stream()
+			.map((object) -> new ObjectMessages.Item(object.key(), object.version(), Optional.of(value(object))))
+			.toList(), page.more()));
+	}
+
+	private void read(String key, Response response) throws IOException {
+		Optional<StoredObject> object = this.table.read(key);
+		if (object.isEmpty()) {
+			HttpMessages.reply(response, 404, Map.of("error", "no such object"));
+			return;
+		}
+		response.setHeader("ETag", "\"" + object.get().version() + "\"");
+		HttpMessages.reply(response, 200, object.get().value());
+	}
+
+	private void write(String key, Request request, Response response) throws IOException {
+		Optional<byte[]> body = HttpMessages.body(request, MAX_VALUE_BYTES);
+		if (body.isEmpty()) {
+			HttpMessages.reply(response, 413, Map.of("error", "value is longer than 1 MB"));
+			return;
+		}
+		String expected = request.getHeader("If-Match");
+		OptionalLong version = (expected != null) ? this.table.replace(key, body.get(), version(expected))
+				: this.table.create(key, body.get());
+		if (version.isEmpty()) {
+			HttpMessages.reply(response, 412, Map.of("error", "version does not match"));
+			return;
+		}
+		response.setHeader("ETag", "\"" + version.getAsLong() + "\"");
+		HttpMessages.reply(response, 200, Map.of("version", version.getAsLong()));
+	}
+
+	private void delete(String key, Request request, Response response) throws IOException {
+		boolean deleted = this.table.delete(key, version(request.getHeader("If-Match")));
+		HttpMessages.reply(response, deleted ? 200 : 412, Map.of("deleted", deleted));
+	}
+
+	private static long version(String tag) {
+		return Long.parseLong(tag.replace("\"", ""));
+	}
+
+	private static JsonNode value(StoredObject object) {
+		try {
+			return Json.mapper().readTree(object.value());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("value of " + object.key() + " is not JSON", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectTable.java
@@ -0,0 +1,121 @@
+package org.mulberrycross.standins.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.ObjectPage;
+import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.StoredObject;
+import org.mulberrycross.platform.WatchResult;
+
+/**
+ * Object store in memory with one revision counter. Thread-safe.
+ */
+public final class ObjectTable implements ObjectStore {
+
+	private static final int MAX_CHANGES = 100_000;
+
+	private final TreeMap<String, StoredObject> objects = new TreeMap<>();
+
+	private final List<ObjectChange> changes = new ArrayList<>();
+
+	private long revision;
+
+	private long compactedBefore;
+
+	@Override
+	public synchronized Optional<StoredObject> read(String key) {
+		return Optional.ofNullable(this.objects.get(key));
+	}
+
+	@Override
+	public synchronized ObjectPage list(Set<String> kinds, String after, int limit) {
+		List<StoredObject> found = new ArrayList<>();
+		for (StoredObject object : this.objects.tailMap(after, false).values()) {
+			if (kinds.contains(object.kind())) {
+				if (found.size() == limit) {
+					return new ObjectPage(this.revision, found, true);
+				}
+				found.add(object);
+			}
+		}
+		return new ObjectPage(this.revision, found, false);
+	}
+
+	@Override
+	public synchronized OptionalLong create(String key, byte[] value) {
+		if (this.objects.containsKey(key)) {
+			return OptionalLong.empty();
+		}
+		return put(key, value);
+	}
+
+	@Override
+	public synchronized OptionalLong replace(String key, byte[] value, long expectedVersion) {
+		StoredObject current = this.objects.get(key);
+		if (current == null || current.version() != expectedVersion) {
+			return OptionalLong.empty();
+		}
+		return put(key, value);
+	}
+
+	@Override
+	public synchronized boolean delete(String key, long expectedVersion) {
+		StoredObject current = this.objects.get(key);
+		if (current == null || current.version() != expectedVersion) {
+			return false;
+		}
+		this.objects.remove(key);
+		this.revision++;
+		changed(new ObjectChange(key, this.revision, Optional.empty()));
+		return true;
+	}
+
+	@Override
+	public synchronized WatchResult watch(Set<String> kinds, long afterRevision, Duration timeout) {
+		long deadline = System.nanoTime() + timeout.toNanos();
+		while (true) {
+			if (afterRevision < this.compactedBefore) {
+				return new WatchResult(this.revision, List.of(), true);
+			}
+			List<ObjectChange> seen = this.changes.stream()
+				.filter((change) -> change.version() > afterRevision)
+				.filter((change) -> kinds.contains(change.key().substring(0, change.key().indexOf('/'))))
+				.toList();
+			long millis = (deadline - System.nanoTime()) / 1_000_000;
+			if (!seen.isEmpty() || millis <= 0) {
+				return new WatchResult(this.revision, seen, false);
+			}
+			try {
+				wait(millis);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return new WatchResult(this.revision, List.of(), false);
+			}
+		}
+	}
+
+	private OptionalLong put(String key, byte[] value) {
+		this.revision++;
+		StoredObject object = new StoredObject(key, this.revision, value);
+		this.objects.put(key, object);
+		changed(new ObjectChange(key, this.revision, Optional.of(object)));
+		return OptionalLong.of(this.revision);
+	}
+
+	private void changed(ObjectChange change) {
+		this.changes.add(change);
+		if (this.changes.size() > MAX_CHANGES) {
+			this.compactedBefore = this.changes.remove(0).version();
+		}
+		notifyAll();
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/AdmissionAction.java
@@ -0,0 +1,36 @@
+package org.mulberrycross.caller;
+
+import java.time.Duration;
+
+/**
+ * What admission decided about a request. Immutable and thread-safe.
+ */
+public sealed interface AdmissionAction {
+
+	/**
+	 * Returns the request that the action is about.
+	 * @return the request, not null
+	 */
+	CallerRequest request();
+
+	/**
+	 * Lets a request run now.
+	 *
+	 * @param request the request, not null
+	 */
+	record Grant(CallerRequest request) implements AdmissionAction {
+
+	}
+
+	/**
+	 * Refuses a request that has not run.
+	 *
+	 * @param request the request, not null
+	 * @param reason why it is refused
+	 * @param retryAfter the time after which a new try may succeed
+	 */
+	record Refuse(CallerRequest request, String reason, Duration retryAfter) implements AdmissionAction {
+
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/http/HttpAnswer.java
@@ -0,0 +1,92 @@
+package org.mulberrycross.caller.http;
+
+import java.io.IOException;
+
+import org.glassfish.grizzly.http.server.Response;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.mulberrycross.NotRunException;
+import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.Step;
+import org.mulberrycross.caller.CallerAnswer;
+import org.mulberrycross.caller.CallerRequest;
+import org.mulberrycross.http.HttpMessages;
+
+/**
+ * Answer over a suspended HTTP response. Not thread-safe; used by one thread at a time.
+ */
+abstract class HttpAnswer implements CallerAnswer {
+
+	private static final Logger logger = LoggerFactory.getLogger(HttpAnswer.class);
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private static final int BAD_GATEWAY = 502;
+
+	private final Response response;
+
+	private final CallerRequest request;
+
+	HttpAnswer(Response response, CallerRequest request) {
+		this.response = response;
+		this.request = request;
+	}
+
+	Response response() {
+		return this.response;
+	}
+
+	CallerRequest request() {
+		return this.request;
+	}
+
+	PeerException lost(IOException cause) {
+		return new PeerException(Step.WRITE_ANSWER, new Peer(Peer.Kind.CALLER, this.request.team()),
+				"connection to the caller failed", cause);
+	}
+
+	@Override
+	public void fail(PeerException error) {
+		try {
+			if (this.response.isCommitted()) {
+				failCommitted(error);
+			}
+			else {
+				failFirst(error);
+			}
+		}
+		catch (IOException ex) {
+			logger.debug("request {}: error could not be sent to the caller", this.request.id(), ex);
+		}
+		finally {
+			resume();
+		}
+	}
+
+	/**
+	 * Ends a response that has started, so that the caller sees that it is not whole.
+	 * @param error the error to tell the caller
+	 * @throws IOException if the connection fails
+	 */
+	abstract void failCommitted(PeerException error) throws IOException;
+
+	void resume() {
+		if (this.response.isSuspended()) {
+			this.response.resume();
+		}
+	}
+
+	private void failFirst(PeerException error) throws IOException {
+		boolean notRun = error instanceof NotRunException;
+		if (notRun) {
+			((NotRunException) error).retryAfter()
+				.ifPresent(
+						(wait) -> this.response.setHeader("Retry-After", Long.toString(Math.max(1, wait.toSeconds()))));
+		}
+		HttpMessages.reply(this.response, notRun ? SERVICE_UNAVAILABLE : BAD_GATEWAY,
+				ErrorBody.of(notRun ? "not_run" : "failed", error));
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP and JSON encoding of callers' requests and answers.
+ */
+package org.mulberrycross.caller.http;
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineLoad.java
@@ -0,0 +1,14 @@
+package org.mulberrycross.engine;
+
+/**
+ * Load that an engine reports. Immutable and thread-safe.
+ *
+ * @param running the number of steps in the current batch
+ * @param queued the number of steps that wait for a batch
+ * @param batchLimit the largest batch, 1 or more
+ * @param stepMicros the time of one batch step, in microseconds
+ * @param leaving whether the engine is about to stop
+ */
+public record EngineLoad(int running, int queued, int batchLimit, long stepMicros, boolean leaving) {
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
@@ -0,0 +1,81 @@
+package org.mulberrycross.engine;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.operator.Configuration;
+import org.mulberrycross.operator.UpstreamKind;
+import org.mulberrycross.operator.UpstreamObject;
+
+/**
+ * State of all engines. Not thread-safe; owned by the control thread, which publishes
+ * {@link #view} to traffic threads.
+ */
+public final class EngineTable {
+
+	private final Map<String, EngineState> engines = new HashMap<>();
+
+	/**
+	 * Takes over the engines of a configuration. Engines that stay keep what is known
+	 * about them.
+	 * @param configuration the configuration, not null
+	 */
+	public void configure(Configuration configuration) {
+		Map<String, UpstreamObject> configured = configuration.objects()
+			.stream()
+			.filter(UpstreamObject.class::isInstance)
+			.map(UpstreamObject.class::cast)
+			.filter((upstream) -> upstream.type() == UpstreamKind.ENGINE)
+			.collect(Collectors.toMap(UpstreamObject::name, (upstream) -> upstream));
+		this.engines.keySet().retainAll(configured.keySet());
+		for (UpstreamObject upstream : configured.values()) {
+			this.engines.put(upstream.name(), state(upstream));
+		}
+	}
+
+	private EngineState state(UpstreamObject upstream) {
+		Optional<EngineState> known = Optional.ofNullable(this.engines.get(upstream.name()));
+		return new EngineState(upstream.name(), Address.parse(upstream.address()), upstream.dataCentre(),
+				upstream.accelerator(), upstream.model(), new LayerRange(upstream.firstLayer(), upstream.endLayer()),
+				known.flatMap(EngineState::load), known.map(EngineState::loadNanos).orElse(0L),
+				known.map(EngineState::outstanding).orElse(0), known.map(EngineState::suspected).orElse(false),
+				upstream.leaving());
+	}
+
+	/**
+	 * Notes that a stream starts to use stages.
+	 * @param stages the stages, not null
+	 */
+	public void acquire(Collection<Stage> stages) {
+		stages.forEach((stage) -> changeOutstanding(stage, 1));
+	}
+
+	/**
+	 * Notes that a stream no longer uses stages.
+	 * @param stages the stages, not null
+	 */
+	public void release(Collection<Stage> stages) {
+		stages.forEach((stage) -> changeOutstanding(stage, -1));
+	}
+
+	private void changeOutstanding(Stage stage, int change) {
+		this.engines.computeIfPresent(stage.engine(),
+				(name, state) -> new EngineState(name, state.address(), state.dataCentre(), state.accelerator(),
+						state.model(), state.layers(), state.load(), state.loadNanos(),
+						Math.max(0, state.outstanding() + change), state.suspected(), state.leaving()));
+	}
+
+	/**
+	 * Returns the engines as they are now.
+	 * @param nanos the time on the daemon's monotonic clock
+	 * @return an immutable view
+	 */
+	public EngineView view(long nanos) {
+		return new EngineView(nanos, this.engines.values());
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/TokenSink.java
@@ -0,0 +1,20 @@
+package org.mulberrycross.engine;
+
+import org.mulberrycross.PeerException;
+
+/**
+ * Receives the generated tokens of one stream in order. Called by the thread that runs
+ * the stream.
+ */
+@FunctionalInterface
+public interface TokenSink {
+
+	/**
+	 * Receives the next token.
+	 * @param index the index of the token in the answer, from 0
+	 * @param text the text of the token, not null
+	 * @throws PeerException if the token cannot be passed on, which ends the stream
+	 */
+	void token(int index, String text) throws PeerException;
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -0,0 +1,203 @@
+package org.mulberrycross.http;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.connectionpool.Endpoint;
+import org.glassfish.grizzly.connectionpool.MultiEndpointPool;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+import org.mulberrycross.NotRunException;
+import org.mulberrycross.OutcomeUnknownException;
+import org.mulberrycross.PeerException;
+
+/**
+ * HTTP client over Grizzly with pooled connections. Each connection carries one exchange
+ * at a time. A connection whose exchange timed out is closed and never used again, since
+ * a connection can go silent while new ones work. Thread-safe; {@link #send} blocks and
+ * must not run on a selector thread or the control thread.
+ */
+public final class HttpClient implements AutoCloseable {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+	private static final Duration IDLE_LIMIT = Duration.ofSeconds(20);
+
+	private static final int MAX_CONNECTIONS_PER_ENDPOINT = 1024;
+
+	private static final int MAX_CONNECTIONS = 8192;
+
+	private final TCPNIOTransport transport;
+
+	private final TCPNIOConnectorHandler connector;
+
+	private final MultiEndpointPool<SocketAddress> pool;
+
+	/**
+	 * Starts a client.
+	 * @param selectorThreads the number of selector threads, at least 1
+	 * @throws IOException if the transport cannot be started
+	 */
+	public HttpClient(int selectorThreads) throws IOException {
+		this.transport = TCPNIOTransportBuilder.newInstance()
+			.setIOStrategy(SameThreadIOStrategy.getInstance())
+			.setTcpNoDelay(true)
+			.setSelectorRunnersCount(selectorThreads)
+			.build();
+		this.transport.setProcessor(FilterChainBuilder.stateless()
+			.add(new TransportFilter())
+			.add(new HttpClientFilter())
+			.add(new HttpExchangeFilter())
+			.build());
+		this.transport.start();
+		this.connector = TCPNIOConnectorHandler.builder(this.transport).build();
+		this.pool = MultiEndpointPool.builder(SocketAddress.class)
+			.maxConnectionsPerEndpoint(MAX_CONNECTIONS_PER_ENDPOINT)
+			.maxConnectionsTotal(MAX_CONNECTIONS)
+			.connectTimeout(CONNECT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+			.keepAliveTimeout(IDLE_LIMIT.toMillis(), TimeUnit.MILLISECONDS)
+			.keepAliveCheckInterval(1, TimeUnit.SECONDS)
+			.build();
+	}
+
+	/**
+	 * Sends a request and waits for the whole response.
+	 * @param call the request, not null
+	 * @return the response, of any status
+	 * @throws NotRunException if no byte of the request left this process
+	 * @throws OutcomeUnknownException if the request may have left and no complete
+	 * response came within the timeout
+	 */
+	public HttpReply send(HttpCall call) throws PeerException {
+		return send(call, BodyListener.NONE);
+	}
+
+	/**
+	 * Sends a request, passes on the body as it arrives and waits for the end of the
+	 * response.
+	 * @param call the request, not null
+	 * @param listener receives the parts of the body, not null
+	 * @return the response, of any status
+	 * @throws NotRunException if no byte of the request left this process
+	 * @throws OutcomeUnknownException if the request may have left and no complete
+	 * response came within the timeout
+	 */
+	public HttpReply send(HttpCall call, BodyListener listener) throws PeerException {
+		Objects.requireNonNull(call, "call");
+		Objects.requireNonNull(listener, "listener");
+		long deadline = System.nanoTime() + call.timeout().toNanos();
+		Connection<?> connection = connect(call);
+		HttpExchange exchange = new HttpExchange(listener);
+		boolean reusable = false;
+		try {
+			HttpExchangeFilter.start(connection, exchange);
+			connection.write(encode(call));
+			HttpReply reply = exchange.reply().get(deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
+			reusable = !call.newConnection() && exchange.keepsAlive();
+			return reply;
+		}
+		catch (TimeoutException ex) {
+			throw unknown(call, "no complete reply within " + call.timeout().toMillis() + " ms", ex);
+		}
+		catch (ExecutionException ex) {
+			throw unknown(call, "connection failed: " + ex.getCause().getMessage(), ex.getCause());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw unknown(call, "interrupted while waiting for the reply", ex);
+		}
+		finally {
+			finish(connection, reusable);
+		}
+	}
+
+	private void finish(Connection<?> connection, boolean reusable) {
+		HttpExchangeFilter.end(connection);
+		if (reusable) {
+			this.pool.release(connection);
+			return;
+		}
+		connection.closeSilently();
+	}
+
+	private Connection<?> connect(HttpCall call) throws NotRunException {
+		SocketAddress address = call.address().socketAddress();
+		long wait = Math.min(CONNECT_TIMEOUT.toNanos(), call.timeout().toNanos());
+		Future<? extends Connection<?>> future = null;
+		try {
+			future = call.newConnection() ? open(address) : take(address);
+			return future.get(wait, TimeUnit.NANOSECONDS);
+		}
+		catch (TimeoutException ex) {
+			future.cancel(true);
+			throw new NotRunException(call.step(), call.peer(),
+					"no connection to " + call.address() + " within " + TimeUnit.NANOSECONDS.toMillis(wait) + " ms",
+					ex);
+		}
+		catch (ExecutionException ex) {
+			throw new NotRunException(call.step(), call.peer(),
+					"cannot connect to " + call.address() + ": " + ex.getCause().getMessage(), ex.getCause());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new NotRunException(call.step(), call.peer(), "interrupted while connecting to " + call.address(),
+					ex);
+		}
+	}
+
+	@SuppressWarnings({ "unchecked", "rawtypes" })
+	private Future<? extends Connection<?>> open(SocketAddress address) {
+		return (Future) this.connector.connect(address);
+	}
+
+	@SuppressWarnings({ "unchecked", "rawtypes" })
+	private Future<? extends Connection<?>> take(SocketAddress address) {
+		return (Future) this.pool.take(Endpoint.Factory.create(address, this.connector));
+	}
+
+	private static HttpContent encode(HttpCall call) {
+		HttpRequestPacket.Builder builder = HttpRequestPacket.builder()
+			.method(call.method())
+			.uri(call.path())
+			.protocol("HTTP/1.1")
+			.host(call.address().toString())
+			.contentLength(call.body().length);
+		for (Map.Entry<String, String> header : call.headers().entrySet()) {
+			builder.header(header.getKey(), header.getValue());
+		}
+		return HttpContent.builder(builder.build()).content(Buffers.wrap(null, call.body())).last(true).build();
+	}
+
+	private static OutcomeUnknownException unknown(HttpCall call, String message, Throwable cause) {
+		return new OutcomeUnknownException(call.step(), call.peer(), message, cause);
+	}
+
+	@Override
+	public void close() {
+		this.pool.close();
+		try {
+			this.transport.shutdownNow();
+		}
+		catch (IOException ex) {
+			// The transport is gone either way.
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpListener.java
@@ -0,0 +1,90 @@
+package org.mulberrycross.http;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * HTTP server over Grizzly. Handlers run on worker threads, never on selector threads.
+ * Thread-safe once started.
+ */
+public final class HttpListener implements AutoCloseable {
+
+	/**
+	 * Bound on the bytes that wait to be written to one connection. A peer that stops
+	 * reading fails its own exchange when the bound is reached.
+	 */
+	private static final int MAX_PENDING_BYTES = 1 << 20;
+
+	private static final long CLOSE_SECONDS = 2;
+
+	private final HttpServer server = new HttpServer();
+
+	private final NetworkListener listener;
+
+	private final CountDownLatch closed = new CountDownLatch(1);
+
+	/**
+	 * Creates a server that does not listen yet.
+	 * @param host the IP address to listen on, not null
+	 * @param port the port, or 0 for any free port
+	 * @param workers the number of worker threads, at least 1
+	 */
+	public HttpListener(String host, int port, int workers) {
+		this.listener = new NetworkListener("http", host, port);
+		this.listener.setMaxPendingBytes(MAX_PENDING_BYTES);
+		this.listener.getTransport()
+			.setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+				.setPoolName("http-worker")
+				.setCorePoolSize(workers)
+				.setMaxPoolSize(workers));
+		this.listener.getTransport().setTcpNoDelay(true);
+		this.server.addListener(this.listener);
+	}
+
+	/**
+	 * Adds a handler.
+	 * @param handler the handler, not null
+	 * @param paths the paths that it serves, such as {@code /v1/step} or
+	 * {@code /objects/*}
+	 */
+	public void route(HttpHandler handler, String... paths) {
+		this.server.getServerConfiguration().addHttpHandler(handler, paths);
+	}
+
+	/**
+	 * Starts to listen.
+	 * @throws IOException if the address cannot be bound
+	 */
+	public void start() throws IOException {
+		this.server.start();
+	}
+
+	/**
+	 * Returns the port in use.
+	 * @return the port; the bound one after the start
+	 */
+	public int port() {
+		return this.listener.getPort();
+	}
+
+	/**
+	 * Waits until this server is closed.
+	 * @throws InterruptedException if the thread is interrupted while it waits
+	 */
+	public void awaitClose() throws InterruptedException {
+		this.closed.await();
+	}
+
+	@Override
+	public void close() {
+		this.server.shutdown(CLOSE_SECONDS, TimeUnit.SECONDS);
+		this.closed.countDown();
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpMessages.java
@@ -0,0 +1,64 @@
+package org.mulberrycross.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+
+/**
+ * Reads requests and writes responses of the HTTP server. Thread-safe.
+ */
+public final class HttpMessages {
+
+	private static final String JSON_TYPE = "application/json";
+
+	private HttpMessages() {
+	}
+
+	/**
+	 * Reads the body of a request.
+	 * @param request the request, not null
+	 * @param maxBytes the longest body to accept, in bytes
+	 * @return the body, or empty if it is longer than {@code maxBytes}
+	 * @throws IOException if the connection fails while the body is read
+	 */
+	public static Optional<byte[]> body(Request request, int maxBytes) throws IOException {
+		Objects.requireNonNull(request, "request");
+		if (request.getContentLengthLong() > maxBytes) {
+			return Optional.empty();
+		}
+		InputStream stream = request.getInputStream();
+		byte[] body = stream.readNBytes(maxBytes + 1);
+		return (body.length > maxBytes) ? Optional.empty() : Optional.of(body);
+	}
+
+	/**
+	 * Writes a JSON response.
+	 * @param response the response, not committed yet
+	 * @param status the status code
+	 * @param value the value to encode, not null
+	 * @throws IOException if the connection fails
+	 */
+	public static void reply(Response response, int status, Object value) throws IOException {
+		reply(response, status, Json.encode(value));
+	}
+
+	/**
+	 * Writes a response whose body is JSON text.
+	 * @param response the response, not committed yet
+	 * @param status the status code
+	 * @param json the JSON text in UTF-8, not null
+	 * @throws IOException if the connection fails
+	 */
+	public static void reply(Response response, int status, byte[] json) throws IOException {
+		response.setStatus(status);
+		response.setContentType(JSON_TYPE);
+		response.setContentLength(json.length);
+		response.getOutputStream().write(json);
+		response.getOutputStream().flush();
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpReply.java
@@ -0,0 +1,47 @@
+package org.mulberrycross.http;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * A complete HTTP response. Immutable and thread-safe; the body must not be changed.
+ *
+ * @param status the status code
+ * @param headers the headers by name in lower case, not null
+ * @param body the body, empty for none
+ */
+public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+
+	private static final int FIRST_SUCCESS_STATUS = 200;
+
+	private static final int FIRST_REDIRECT_STATUS = 300;
+
+	/**
+	 * Creates a reply.
+	 * @param status the status code
+	 * @param headers the headers by name in lower case, not null
+	 * @param body the body, empty for none
+	 */
+	public HttpReply {
+		headers = Map.copyOf(headers);
+	}
+
+	/**
+	 * Returns whether the status is a success (2xx).
+	 * @return true for a success
+	 */
+	public boolean isSuccess() {
+		return this.status >= FIRST_SUCCESS_STATUS && this.status < FIRST_REDIRECT_STATUS;
+	}
+
+	/**
+	 * Returns a header.
+	 * @param name the name in any case
+	 * @return the value, or empty if the header is absent
+	 */
+	public Optional<String> header(String name) {
+		return Optional.ofNullable(this.headers.get(name.toLowerCase(Locale.ROOT)));
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/operator/json/ObjectCodec.java
@@ -0,0 +1,79 @@
+package org.mulberrycross.operator.json;
+
+import java.io.IOException;
+import java.util.Objects;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+
+import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.Step;
+import org.mulberrycross.http.Json;
+import org.mulberrycross.operator.ModelObject;
+import org.mulberrycross.operator.ObjectKind;
+import org.mulberrycross.operator.OperatorObject;
+import org.mulberrycross.operator.PipelineObject;
+import org.mulberrycross.operator.TeamObject;
+import org.mulberrycross.operator.UpstreamObject;
+
+/**
+ * Encodes and decodes operators' objects. Unknown fields are refused, since a misspelt
+ * field would otherwise be lost without notice. Thread-safe.
+ */
+public final class ObjectCodec {
+
+	private static final ObjectReader READER = Json.mapper()
+		.reader()
+		.with(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+	private ObjectCodec() {
+	}
+
+	/**
+	 * Encodes an object.
+	 * @param object the object, not null
+	 * @return the JSON text in UTF-8
+	 */
+	public static byte[] encode(OperatorObject object) {
+		Objects.requireNonNull(object, "object");
+		return Json.encode(object);
+	}
+
+	/**
+	 * Decodes an object.
+	 * @param kind the kind of the object, not null
+	 * @param json the JSON text in UTF-8, not null
+	 * @return the object
+	 * @throws PeerException if the text is not an object of that kind
+	 */
+	public static OperatorObject decode(ObjectKind kind, byte[] json) throws PeerException {
+		Peer peer = new Peer(Peer.Kind.OPERATOR, kind.label());
+		try {
+			OperatorObject object = READER.readValue(json, type(kind));
+			if (object == null) {
+				throw new PeerException(Step.CODEC, peer, kind.label() + " object is null");
+			}
+			return object;
+		}
+		catch (UnrecognizedPropertyException ex) {
+			throw new PeerException(Step.CODEC, peer,
+					kind.label() + " object has an unknown field '" + ex.getPropertyName() + "'", ex);
+		}
+		catch (IOException ex) {
+			throw new PeerException(Step.CODEC, peer, "text is not a valid " + kind.label() + " object", ex);
+		}
+	}
+
+	private static Class<? extends OperatorObject> type(ObjectKind kind) {
+		return switch (kind) {
+			case MODEL -> ModelObject.class;
+			case PIPELINE -> PipelineObject.class;
+			case TEAM -> TeamObject.class;
+			case UPSTREAM -> UpstreamObject.class;
+		};
+	}
+
+}
