Choose routes by expected time and limit streams per engine

Cause: routes were chosen by the number of own streams alone, and nothing kept a daemon from flooding an engine.

Load, step time and link time are learnt from step replies, summed per engine and taken by the control thread once per interval. Ruled out: one event per token, since the control thread would handle as many events as there are tokens; a load poll, since replies carry the load already.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
@@ -1,6 +1,7 @@
 package org.mulberrycross.engine;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -43,7 +44,33 @@
 				upstream.accelerator(), upstream.model(), new LayerRange(upstream.firstLayer(), upstream.endLayer()),
 				known.flatMap(EngineState::load), known.map(EngineState::loadNanos).orElse(0L),
 				known.map(EngineState::outstanding).orElse(0), known.map(EngineState::suspected).orElse(false),
-				upstream.leaving());
+				upstream.leaving(), known.map(EngineState::estimate).orElseGet(() -> estimateFor(upstream)));
+	}
+
+	/**
+	 * Returns what engines of the same kind, and best in the same data centre, suggest
+	 * about a new one.
+	 * @param upstream the new engine
+	 * @return the estimate to start with
+	 */
+	private EngineEstimate estimateFor(UpstreamObject upstream) {
+		return this.engines.values()
+			.stream()
+			.filter((engine) -> engine.accelerator().equals(upstream.accelerator()))
+			.filter((engine) -> engine.estimate().stepTimes().reports() > 0)
+			.max(Comparator.comparing((EngineState engine) -> engine.dataCentre().equals(upstream.dataCentre()))
+				.thenComparing(EngineState::name))
+			.map((engine) -> engine.estimate().forNewEngine())
+			.orElseGet(EngineEstimate::initial);
+	}
+
+	/**
+	 * Takes over measured steps. Samples of unknown engines are ignored.
+	 * @param samples the samples by engine, not null
+	 */
+	public void observe(Map<String, StepSample> samples) {
+		samples.forEach(
+				(engine, sample) -> this.engines.computeIfPresent(engine, (name, state) -> state.withSample(sample)));
 	}
 
 	/**
@@ -64,9 +91,7 @@
 
 	private void changeOutstanding(Stage stage, int change) {
 		this.engines.computeIfPresent(stage.engine(),
-				(name, state) -> new EngineState(name, state.address(), state.dataCentre(), state.accelerator(),
-						state.model(), state.layers(), state.load(), state.loadNanos(),
-						Math.max(0, state.outstanding() + change), state.suspected(), state.leaving()));
+				(name, state) -> state.withOutstanding(Math.max(0, state.outstanding() + change)));
 	}
 
 	/**
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineView.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineView.java
@@ -57,7 +57,8 @@
 	 * Returns the engines that may start to run a request's route at a layer.
 	 * @param request what to cover, not null
 	 * @param layer the next layer to cover
-	 * @return the available engines that hold the layer, in the order of their names
+	 * @return the available engines that hold the layer and have a place, in the order of
+	 * their names
 	 */
 	public List<EngineState> candidates(RouteRequest request, int layer) {
 		return this.engines.values()
@@ -66,6 +67,7 @@
 			.filter((engine) -> engine.model().equals(request.model()))
 			.filter((engine) -> engine.layers().contains(layer))
 			.filter((engine) -> !request.excluded().contains(engine.name()))
+			.filter((engine) -> engine.admits(request.limitShare()))
 			.toList();
 	}
 
