Admit by team weight, work class and deadline

Cause: requests were granted in order of arrival, so one team or a few long requests could hold all places, and requests waited for a deadline that they could not meet.

Fair queues per pipeline, class and team; a guaranteed share for long work and a reserve for short work; refusal once the expected wait passes the deadline; grants only with a reserved route. The engine priority follows the class while the stream runs. The former behaviour stays as admission.policy = "fifo".

--- a/mulberrycross/src/main/java/org/mulberrycross/caller/AdmissionAction.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/AdmissionAction.java
@@ -17,8 +17,11 @@
 	 * Lets a request run now.
 	 *
 	 * @param request the request, not null
+	 * @param workClass the class of the work, not null
+	 * @param estimatedTokens the estimated output length; work that exceeds it is
+	 * reported to {@link Admission#exceeded}
 	 */
-	record Grant(CallerRequest request) implements AdmissionAction {
+	record Grant(CallerRequest request, WorkClass workClass, int estimatedTokens) implements AdmissionAction {
 
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/StepwiseRouteRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/StepwiseRouteRunner.java
@@ -43,7 +43,7 @@
 		StepReply reply = null;
 		for (Stage stage : route.stages()) {
 			StepRequest step = new StepRequest(request.stream(), ledger.attempt(), route.model(), route.version(),
-					route.adapter(), stage.layers(), ledger.position(), input, request.priority());
+					route.adapter(), stage.layers(), ledger.position(), input, request.priority().getAsInt());
 			reply = this.client.step(stage, step, this.stepTimeout);
 			ledger.accept(stage, reply);
 			input = reply.output();
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/StreamRequest.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/StreamRequest.java
@@ -1,6 +1,7 @@
 package org.mulberrycross.engine;
 
 import java.util.Objects;
+import java.util.function.IntSupplier;
 
 /**
  * A stream to run over a route. Immutable and thread-safe; the tokens must not be
@@ -9,19 +10,21 @@
  * @param stream the identifier of the stream, unique over all daemons
  * @param promptTokens the token numbers of the prompt, not empty
  * @param maxTokens the number of tokens to generate, 1 or more
- * @param priority the priority of the stream's steps; a higher number goes first
+ * @param priority gives the priority of the next step, not null; a higher number goes
+ * first; may change while the stream runs
  */
-public record StreamRequest(String stream, long[] promptTokens, int maxTokens, int priority) {
+public record StreamRequest(String stream, long[] promptTokens, int maxTokens, IntSupplier priority) {
 
 	/**
 	 * Creates a stream.
 	 * @param stream the identifier of the stream, not null
 	 * @param promptTokens the token numbers of the prompt, not empty
 	 * @param maxTokens the number of tokens to generate, 1 or more
-	 * @param priority the priority of the stream's steps
+	 * @param priority gives the priority of the next step, not null
 	 */
 	public StreamRequest {
 		Objects.requireNonNull(stream, "stream");
+		Objects.requireNonNull(priority, "priority");
 		if (promptTokens.length == 0 || maxTokens < 1) {
 			throw new IllegalArgumentException(
 					"prompt of " + promptTokens.length + " tokens, " + maxTokens + " tokens to generate");
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -20,9 +20,15 @@
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.caller.Admission;
+import org.mulberrycross.caller.AdmissionInputs;
+import org.mulberrycross.caller.AdmissionSettings;
+import org.mulberrycross.caller.TeamLimits;
 import org.mulberrycross.caller.WordTokenizer;
 import org.mulberrycross.caller.http.ChatHandler;
+import org.mulberrycross.engine.ExpectedTimePolicy;
 import org.mulberrycross.engine.RoutePolicies;
+import org.mulberrycross.engine.RoutePolicy;
+import org.mulberrycross.engine.StepCollector;
 import org.mulberrycross.engine.StepwiseRouteRunner;
 import org.mulberrycross.engine.http.HttpStageClient;
 import org.mulberrycross.http.HttpClient;
@@ -30,6 +36,8 @@
 import org.mulberrycross.operator.Configuration;
 import org.mulberrycross.operator.ObjectKind;
 import org.mulberrycross.operator.OperatorObject;
+import org.mulberrycross.operator.PipelineObject;
+import org.mulberrycross.operator.TeamObject;
 import org.mulberrycross.operator.json.ObjectCodec;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
@@ -67,6 +75,8 @@
 
 	private final HttpListener listener;
 
+	private final StepCollector steps;
+
 	private final RouterControl control;
 
 	private final Thread follower;
@@ -83,13 +93,13 @@
 		this.traffic = trafficThreads(settings.maxStreams() + 1);
 		this.client = new HttpClient(SELECTOR_THREADS);
 		MonotonicClock clock = MonotonicClock.system();
+		this.steps = new StepCollector(new HttpStageClient(this.client), clock);
 		this.control = new RouterControl(this.controlThread, this.traffic, clock, RandomGenerator.getDefault(),
-				RoutePolicies.leastOutstanding(),
-				new StepwiseRouteRunner(new HttpStageClient(this.client), settings.stepTimeout()),
-				new Admission(settings.maxStreams(), settings.maxQueued()));
+				routePolicy(settings), new StepwiseRouteRunner(this.steps, settings.stepTimeout()),
+				admission(settings));
 		this.listener = new HttpListener(settings.listen().host(), settings.listen().port(), WORKER_THREADS);
-		this.listener.route(new ChatHandler(() -> this.control.snapshot().configuration(), this.control,
-				new WordTokenizer(), () -> UUID.randomUUID().toString(), clock,
+		this.listener.route(new ChatHandler(this::configuration, this.control, new WordTokenizer(),
+				() -> UUID.randomUUID().toString(), clock,
 				new ChatHandler.ChatLimits(settings.maxBodyBytes(), settings.maxWait())), ChatHandler.PATH);
 		this.listener.route(new HealthHandler(this.control::snapshot), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
@@ -98,6 +108,38 @@
 		this.follower.setDaemon(true);
 	}
 
+	private static RoutePolicy routePolicy(RouterSettings settings) {
+		return switch (settings.routingPolicy()) {
+			case "random" -> RoutePolicies.random();
+			case "round-robin" -> RoutePolicies.roundRobin();
+			case "least-outstanding" -> RoutePolicies.leastOutstanding();
+			default -> new ExpectedTimePolicy();
+		};
+	}
+
+	private Admission admission(RouterSettings settings) {
+		AdmissionSettings policy = "fifo".equals(settings.admissionPolicy())
+				? AdmissionSettings.fifo(settings.maxStreams(), settings.maxQueued())
+				: AdmissionSettings.fair(settings.maxStreams(), settings.maxQueued());
+		return new Admission(policy,
+				new AdmissionInputs((team) -> configuration().team(team).map(TeamObject::weight).orElse(1),
+						(pipeline) -> configuration().pipeline(pipeline)
+							.map(PipelineObject::longTokens)
+							.orElse(Integer.MAX_VALUE),
+						TeamLimits.local((team) -> configuration().team(team).map(TeamObject::maxConcurrent).orElse(0)),
+						(request, limitShare) -> this.control.reserve(request, limitShare)));
+	}
+
+	private Configuration configuration() {
+		return this.control.snapshot().configuration();
+	}
+
+	/** Passes on measured steps in one batch, then lets deadlines pass. */
+	private void tick() {
+		this.control.observe(this.steps.take());
+		this.control.tick();
+	}
+
 	private static ExecutorService trafficThreads(int count) {
 		ThreadPoolExecutor executor = new ThreadPoolExecutor(count, count, 30, TimeUnit.SECONDS,
 				new LinkedBlockingQueue<>());
@@ -110,7 +152,7 @@
 	 * @throws IOException if the address cannot be bound
 	 */
 	public void start() throws IOException {
-		this.controlThread.every(TICK, this.control::tick);
+		this.controlThread.every(TICK, this::tick);
 		this.listener.start();
 		this.follower.start();
 		logger.info("daemon {} listens on {}", this.settings.name(), this.settings.listen());
--- a/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 
@@ -25,6 +26,7 @@
 import org.mulberrycross.caller.CallerAnswer;
 import org.mulberrycross.caller.CallerRequest;
 import org.mulberrycross.caller.CompletionService;
+import org.mulberrycross.caller.WorkClass;
 import org.mulberrycross.engine.EngineTable;
 import org.mulberrycross.engine.EngineView;
 import org.mulberrycross.engine.LayerRange;
@@ -32,7 +34,7 @@
 import org.mulberrycross.engine.RoutePolicy;
 import org.mulberrycross.engine.RouteRequest;
 import org.mulberrycross.engine.RouteRunner;
-import org.mulberrycross.engine.Stage;
+import org.mulberrycross.engine.StepSample;
 import org.mulberrycross.engine.StreamRequest;
 import org.mulberrycross.operator.Configuration;
 import org.mulberrycross.operator.ModelObject;
@@ -66,6 +68,9 @@
 
 	private final Map<String, CallerAnswer> waiting = new HashMap<>();
 
+	/** Routes of requests that are being granted. */
+	private final Map<String, Route> reserved = new HashMap<>();
+
 	private final AtomicReference<ControlSnapshot> snapshot;
 
 	/**
@@ -146,6 +151,33 @@
 		perform(this.admission.tick(this.clock.nanos()));
 	}
 
+	/**
+	 * Takes over measured steps of engines. Called on the control thread.
+	 * @param samples the samples by engine, not null
+	 */
+	public void observe(Map<String, StepSample> samples) {
+		this.control.assertCurrent();
+		this.engines.observe(samples);
+		publish(snapshot().configuration(), snapshot().draining());
+	}
+
+	/**
+	 * Reserves a route for a request that is about to be granted. Called on the control
+	 * thread.
+	 * @param request the request, not null
+	 * @param limitShare the share of each engine's stream limit that may be in use
+	 * @return false if no route within the limits exists
+	 */
+	boolean reserve(CallerRequest request, double limitShare) {
+		this.control.assertCurrent();
+		Optional<Route> route = route(request, limitShare);
+		route.ifPresent((found) -> {
+			this.engines.acquire(found.stages());
+			this.reserved.put(request.id(), found);
+		});
+		return route.isPresent();
+	}
+
 	private void perform(List<AdmissionAction> actions) {
 		for (AdmissionAction action : actions) {
 			CallerAnswer answer = this.waiting.remove(action.request().id());
@@ -153,34 +185,27 @@
 				fail(answer, new NotRunException(Step.ADMIT, new Peer(Peer.Kind.CALLER, refuse.request().team()),
 						refuse.reason(), refuse.retryAfter()));
 			}
-			else {
-				start(action.request(), answer);
+			else if (action instanceof AdmissionAction.Grant grant) {
+				start(grant, this.reserved.remove(grant.request().id()), answer);
 			}
 		}
 	}
 
-	private void start(CallerRequest request, CallerAnswer answer) {
-		Optional<Route> route = route(request);
-		if (route.isEmpty()) {
-			fail(answer, new NotRunException(Step.CHOOSE_ROUTE, new Peer(Peer.Kind.ENGINE, ""),
-					"no available engines cover pipeline '" + request.pipeline() + "'", RETRY_AFTER));
-			this.control.post(() -> perform(this.admission.finished(this.clock.nanos())));
-			return;
-		}
-		List<Stage> stages = route.get().stages();
-		this.engines.acquire(stages);
+	private void start(AdmissionAction.Grant grant, Route route, CallerAnswer answer) {
 		publish(snapshot().configuration(), snapshot().draining());
+		String id = grant.request().id();
 		this.traffic.execute(() -> {
-			stream(request, route.get(), answer);
+			AtomicInteger tokens = new AtomicInteger();
+			boolean complete = stream(grant, route, answer, tokens);
 			this.control.post(() -> {
-				this.engines.release(stages);
+				this.engines.release(route.stages());
 				publish(snapshot().configuration(), snapshot().draining());
-				perform(this.admission.finished(this.clock.nanos()));
+				perform(this.admission.finished(id, tokens.get(), complete, this.clock.nanos()));
 			});
 		});
 	}
 
-	private Optional<Route> route(CallerRequest request) {
+	private Optional<Route> route(CallerRequest request, double limitShare) {
 		Configuration configuration = snapshot().configuration();
 		Optional<PipelineObject> pipeline = configuration.pipeline(request.pipeline());
 		Optional<ModelObject> model = pipeline.flatMap((found) -> configuration.model(found.model()));
@@ -188,16 +213,26 @@
 			return Optional.empty();
 		}
 		RouteRequest wanted = new RouteRequest(model.get().name(), pipeline.get().version(), pipeline.get().adapter(),
-				new LayerRange(0, model.get().layers()), Set.of());
+				new LayerRange(0, model.get().layers()), Set.of(), limitShare);
 		return this.policy.choose(wanted, this.engines.view(this.clock.nanos()), this.random)
 			.map((stages) -> new Route(wanted.model(), wanted.version(), wanted.adapter(), stages));
 	}
 
-	private void stream(CallerRequest request, Route route, CallerAnswer answer) {
-		StreamRequest stream = new StreamRequest(request.id(), request.promptTokens(), request.maxTokens(), 0);
+	private boolean stream(AdmissionAction.Grant grant, Route route, CallerAnswer answer, AtomicInteger tokens) {
+		CallerRequest request = grant.request();
+		AtomicInteger priority = new AtomicInteger(grant.workClass().priority());
+		StreamRequest stream = new StreamRequest(request.id(), request.promptTokens(), request.maxTokens(),
+				priority::get);
 		try {
-			this.runner.run(stream, route, answer::token);
+			this.runner.run(stream, route, (index, text) -> {
+				answer.token(index, text);
+				if (tokens.incrementAndGet() == grant.estimatedTokens() + 1) {
+					priority.set(WorkClass.LONG.priority());
+					this.control.post(() -> perform(this.admission.exceeded(request.id(), this.clock.nanos())));
+				}
+			});
 			answer.complete();
+			return true;
 		}
 		catch (PeerException ex) {
 			logger.warn("request {} failed: {}", request.id(), ex.toString());
@@ -207,6 +242,7 @@
 			logger.error("request {} failed", request.id(), ex);
 			answer.fail(new PeerException(Step.DECODE, new Peer(Peer.Kind.ENGINE, ""), "internal error", ex));
 		}
+		return false;
 	}
 
 	private void fail(CallerAnswer answer, NotRunException error) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/RouterSettings.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/RouterSettings.java
@@ -21,10 +21,13 @@
  * @param platformTimeout the bound on one call of the object API
  * @param shutdownGrace the time between readiness failing and the end of accepting
  * @param jsonLogs whether log lines are JSON objects
+ * @param admissionPolicy "fair" or "fifo"
+ * @param routingPolicy "expected-time", "least-outstanding", "round-robin" or "random"
  */
 public record RouterSettings(String name, String dataCentre, Address listen, Address platform, List<Address> seeds,
 		int maxBodyBytes, int maxStreams, int maxQueued, Duration maxWait, Duration stepTimeout,
-		Duration platformTimeout, Duration shutdownGrace, boolean jsonLogs) {
+		Duration platformTimeout, Duration shutdownGrace, boolean jsonLogs, String admissionPolicy,
+		String routingPolicy) {
 
 	/**
 	 * Creates settings.
@@ -41,6 +44,9 @@
 	 * @param platformTimeout the bound on one call of the object API
 	 * @param shutdownGrace the time between readiness failing and the end of accepting
 	 * @param jsonLogs whether log lines are JSON objects
+	 * @param admissionPolicy "fair" or "fifo"
+	 * @param routingPolicy "expected-time", "least-outstanding", "round-robin" or
+	 * "random"
 	 */
 	public RouterSettings {
 		seeds = List.copyOf(seeds);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/SettingsReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/SettingsReader.java
@@ -89,13 +89,16 @@
 		Duration platformTimeout = millis("timeouts.platform_ms", 1000);
 		Duration shutdownGrace = millis("shutdown.grace_ms", 3000);
 		boolean jsonLogs = flag("log.json", false);
+		String admissionPolicy = choice("admission.policy", List.of("fair", "fifo"));
+		String routingPolicy = choice("routing.policy",
+				List.of("expected-time", "least-outstanding", "round-robin", "random"));
 		unknownKeys("", this.root);
 		if (!this.faults.isEmpty()) {
 			throw new SettingsException(this.faults);
 		}
 		return new RouterSettings(name.orElseThrow(), dataCentre.orElseThrow(), listen.orElseThrow(),
 				platform.orElseThrow(), seeds, maxBodyBytes, maxStreams, maxQueued, maxWait, stepTimeout,
-				platformTimeout, shutdownGrace, jsonLogs);
+				platformTimeout, shutdownGrace, jsonLogs, admissionPolicy, routingPolicy);
 	}
 
 	private JsonNode node(String key) {
@@ -162,6 +165,24 @@
 		return Duration.ofMillis(number(key, defaultMillis, 1, MAX_MILLIS));
 	}
 
+	/**
+	 * Reads one of some values.
+	 * @param key the key
+	 * @param allowed the values, of which the first is the default
+	 * @return the value, or the default
+	 */
+	private String choice(String key, List<String> allowed) {
+		JsonNode value = node(key);
+		if (value.isMissingNode()) {
+			return allowed.get(0);
+		}
+		if (!value.isTextual() || !allowed.contains(value.textValue())) {
+			fault(key, value, "one of " + String.join(", ", allowed));
+			return allowed.get(0);
+		}
+		return value.textValue();
+	}
+
 	private boolean flag(String key, boolean defaultValue) {
 		JsonNode value = node(key);
 		if (value.isMissingNode()) {
