--- a/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/RouterMain.java
+++ b/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/RouterMain.java
@@ -64,7 +64,7 @@
 
 	private static void run(RouterSettings settings) throws IOException, InterruptedException {
 		Router router = new Router(settings);
-		Runtime.getRuntime().addShutdownHook(new Thread(router::close, "shutdown"));
+		Runtime.getRuntime().addShutdownHook(new Thread(router::shutDown, "shutdown"));
 		router.start();
 		router.awaitClose();
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpListener.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpListener.java
@@ -1,6 +1,7 @@
 package org.mulberrycross.http;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -21,12 +22,12 @@
 	 */
 	private static final int MAX_PENDING_BYTES = 1 << 20;
 
-	private static final long CLOSE_SECONDS = 2;
-
 	private final HttpServer server = new HttpServer();
 
 	private final NetworkListener listener;
 
+	private final ExchangeCounter exchanges = new ExchangeCounter();
+
 	private final CountDownLatch closed = new CountDownLatch(1);
 
 	/**
@@ -38,6 +39,7 @@
 	public HttpListener(String host, int port, int workers) {
 		this.listener = new NetworkListener("http", host, port);
 		this.listener.setMaxPendingBytes(MAX_PENDING_BYTES);
+		this.listener.getKeepAlive().setMaxRequestsCount(-1);
 		this.listener.getTransport()
 			.setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
 				.setPoolName("http-worker")
@@ -54,7 +56,7 @@
 	 * {@code /objects/*}
 	 */
 	public void route(HttpHandler handler, String... paths) {
-		this.server.getServerConfiguration().addHttpHandler(handler, paths);
+		this.server.getServerConfiguration().addHttpHandler(this.exchanges.counted(handler), paths);
 	}
 
 	/**
@@ -73,6 +75,23 @@
 		return this.listener.getPort();
 	}
 
+	/**
+	 * Shuts down without cutting off an exchange: goes on accepting for a grace period,
+	 * then accepts no new connections, and returns when the last exchange has ended.
+	 * Responses ask clients to close their connections meanwhile.
+	 * @param grace the time for which new connections are still accepted, since a load
+	 * balancer notices a failed readiness check late; not negative
+	 * @param timeout the longest wait for exchanges after that, positive
+	 * @return false if exchanges were still open after the timeout
+	 * @throws InterruptedException if the thread is interrupted while it waits
+	 */
+	public boolean drain(Duration grace, Duration timeout) throws InterruptedException {
+		this.exchanges.drain();
+		TimeUnit.NANOSECONDS.sleep(grace.toNanos());
+		this.listener.getTransport().unbindAll();
+		return this.exchanges.awaitNone(timeout);
+	}
+
 	/**
 	 * Waits until this server is closed.
 	 * @throws InterruptedException if the thread is interrupted while it waits
@@ -83,7 +102,7 @@
 
 	@Override
 	public void close() {
-		this.server.shutdown(CLOSE_SECONDS, TimeUnit.SECONDS);
+		this.server.shutdownNow();
 		this.closed.countDown();
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -53,6 +53,12 @@
 
 	private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(30);
 
+	/**
+	 * Longest wait for answers at a shutdown. Longer than any answer takes, so that it
+	 * only ends a process whose answers can no longer end.
+	 */
+	private static final Duration DRAIN_TIMEOUT = Duration.ofHours(1);
+
 	private static final int PAGE_SIZE = 500;
 
 	private final RouterSettings settings;
@@ -116,6 +122,23 @@
 		logger.info("daemon {} listens on {}", this.settings.name(), this.settings.listen());
 	}
 
+	/**
+	 * Stops the daemon without cutting off a request: reports that it is not ready, goes
+	 * on accepting for the grace period, and returns when the last answer has ended.
+	 */
+	public void shutDown() {
+		logger.info("daemon {} drains", this.settings.name());
+		this.control.drain();
+		try {
+			boolean complete = this.listener.drain(this.settings.shutdownGrace(), DRAIN_TIMEOUT);
+			logger.info("daemon {} stops, all requests ended: {}", this.settings.name(), complete);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		close();
+	}
+
 	/**
 	 * Waits until this daemon is closed.
 	 * @throws InterruptedException if the thread is interrupted while it waits
