Report the burn of error budgets by pipeline and team

Each daemon counts good and bad events of four objectives in minutes, on the control thread; reports of several daemons are merged by adding counts.

--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/operator/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP, JSON and HTML forms of what operators read from daemons.
+ */
+package org.mulberrycross.operator.http;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -30,6 +30,7 @@
 import org.mulberrycross.operator.Configuration;
 import org.mulberrycross.operator.ObjectKind;
 import org.mulberrycross.operator.OperatorObject;
+import org.mulberrycross.operator.http.BurnHandler;
 import org.mulberrycross.operator.json.ObjectCodec;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
@@ -100,6 +101,7 @@
 		this.listener.route(new HealthHandler(this.control::snapshot), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
+		this.listener.route(new BurnHandler(() -> this.control.burnReport().join()), BurnHandler.PATH);
 		this.follower = new Thread(this::follow, "configuration");
 		this.follower.setDaemon(true);
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
@@ -25,6 +26,7 @@
 import org.mulberrycross.caller.CallerAnswer;
 import org.mulberrycross.caller.CallerRequest;
 import org.mulberrycross.caller.CompletionService;
+import org.mulberrycross.caller.MeasuredAnswer;
 import org.mulberrycross.engine.EngineTable;
 import org.mulberrycross.engine.EngineView;
 import org.mulberrycross.engine.LayerRange;
@@ -34,9 +36,13 @@
 import org.mulberrycross.engine.RouteRunner;
 import org.mulberrycross.engine.Stage;
 import org.mulberrycross.engine.StreamRequest;
+import org.mulberrycross.operator.BurnCounters;
+import org.mulberrycross.operator.BurnReport;
 import org.mulberrycross.operator.Configuration;
 import org.mulberrycross.operator.ModelObject;
+import org.mulberrycross.operator.Objective;
 import org.mulberrycross.operator.PipelineObject;
+import org.mulberrycross.operator.ServiceLevelEvent;
 
 /**
  * Owns the control state of a router daemon and changes it on the control thread only.
@@ -48,6 +54,9 @@
 
 	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
+	private static final MeasuredAnswer.Targets TARGETS = new MeasuredAnswer.Targets(Objective.FIRST_TOKEN_TARGET_NANOS,
+			Objective.BETWEEN_TOKENS_TARGET_NANOS);
+
 	private final ControlThread control;
 
 	private final Executor traffic;
@@ -66,6 +75,8 @@
 
 	private final Map<String, CallerAnswer> waiting = new HashMap<>();
 
+	private final BurnCounters burn = new BurnCounters();
+
 	private final AtomicReference<ControlSnapshot> snapshot;
 
 	/**
@@ -127,7 +138,9 @@
 	}
 
 	@Override
-	public void serve(CallerRequest request, CallerAnswer answer) {
+	public void serve(CallerRequest request, CallerAnswer callerAnswer) {
+		CallerAnswer answer = new MeasuredAnswer(callerAnswer, this.clock, request.arrivalNanos(), TARGETS,
+				(measure) -> this.control.post(() -> count(request, measure)));
 		boolean accepted = this.control.offer(() -> {
 			this.waiting.put(request.id(), answer);
 			perform(this.admission.arrived(request, this.clock.nanos()));
@@ -138,6 +151,24 @@
 		}
 	}
 
+	/**
+	 * Returns the burn of this daemon's error budgets.
+	 * @return completes with the report once the control thread has made it
+	 */
+	public CompletableFuture<BurnReport> burnReport() {
+		CompletableFuture<BurnReport> report = new CompletableFuture<>();
+		this.control.post(() -> report.complete(this.burn.report(this.clock.nanos())));
+		return report;
+	}
+
+	private void count(CallerRequest request, MeasuredAnswer.Measure measure) {
+		this.control.assertCurrent();
+		this.burn.add(
+				new ServiceLevelEvent(request.pipeline(), request.team(), measure.tokens() > 0,
+						measure.firstTokenInTime(), measure.tokensInTime(), measure.tokensLate(), measure.succeeded()),
+				this.clock.nanos());
+	}
+
 	/**
 	 * Lets deadlines pass. Called at a fixed rate on the control thread.
 	 */
