--- a/bin/local.sh
+++ b/bin/local.sh
@@ -88,3 +88,55 @@
 
 DAEMONS=127.0.0.1:21301,127.0.0.1:21302,127.0.0.1:21303,127.0.0.1:21304,127.0.0.1:21305
 PIPELINES=redactor-ia:12:v1:4,campo-ops:8:v1:1
+
+# start_service: starts the booking service of examples/demo/objects.json.
+start_service() {
+  start service "$STANDINS" org.mulberrycross.standins.service.ServiceMain --port 21201
+}
+
+# apply_objects: writes the objects of examples/demo/objects.json through the operators' command line.
+apply_objects() {
+  wait_port 21000
+  java -cp "$DAEMON" org.mulberrycross.daemon.OperatorMain apply --platform 127.0.0.1:21000 examples/demo/objects.json
+}
+
+# wait_port PORT: waits up to 20 seconds until a process listens on the port.
+wait_port() {
+  local i
+  for ((i = 0; i < 100; i++)); do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; then
+      return 0
+    fi
+    sleep 0.2
+  done
+  echo "nothing listens on port $1; see $RUN_DIR" >&2
+  return 1
+}
+
+# http PORT REQUEST_LINE BODY [HEADER...]: sends a request and prints the body of the response.
+http() {
+  local port=$1 line=$2 body=$3 header
+  shift 3
+  exec 3<>"/dev/tcp/127.0.0.1/$port"
+  {
+    printf '%s HTTP/1.0\r\nContent-Length: %s\r\nContent-Type: application/json\r\n' "$line" "${#body}"
+    for header in "$@"; do printf '%s\r\n' "$header"; done
+    printf '\r\n%s' "$body"
+  } >&3
+  sed '1,/^\r$/d' <&3
+  exec 3<&-
+  echo
+}
+
+# ask PORT PIPELINE PROMPT MAX_TOKENS STREAM
+ask() {
+  http "$1" 'POST /v1/chat/completions' \
+    "{\"model\":\"$2\",\"messages\":[{\"role\":\"user\",\"content\":\"$3\"}],\"max_tokens\":$4,\"stream\":$5}" \
+    'Authorization: Bearer key-1'
+}
+
+# book PORT KEY
+book() {
+  http "$1" 'POST /v1/services/rodding/bookings' '{"crew":"norte","duct":"km-3"}' \
+    'Authorization: Bearer key-1' "Idempotency-Key: $2"
+}
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/load/LoadRun.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/load/LoadRun.java
@@ -36,7 +36,7 @@
 
 	private final HttpClient client;
 
-	private final List<Address> targets;
+	private final Balancer balancer;
 
 	private final Tokenizer tokenizer = new WordTokenizer();
 
@@ -48,12 +48,12 @@
 
 	/**
 	 * Creates a run.
-	 * @param targets the daemons to send to, in turn, not empty
+	 * @param targets the daemons to send to, not empty; ready ones take turns
 	 * @throws IOException if the transport cannot be started
 	 */
 	public LoadRun(List<Address> targets) throws IOException {
-		this.targets = List.copyOf(targets);
 		this.client = new HttpClient(SELECTOR_THREADS);
+		this.balancer = new Balancer(this.client, targets);
 	}
 
 	/**
@@ -90,7 +90,7 @@
 	}
 
 	private RequestResult send(PlannedRequest request, long due) {
-		Address target = this.targets.get(request.number() % this.targets.size());
+		Address target = this.balancer.next();
 		GapRecorder gaps = new GapRecorder(request.longRequest());
 		AnswerEvents events = new AnswerEvents(gaps);
 		byte[] body = Json.encode(Map.of("model", request.pipeline().name(), "max_tokens", request.maxTokens(),
@@ -137,6 +137,7 @@
 
 	@Override
 	public void close() {
+		this.balancer.close();
 		this.timer.shutdownNow();
 		this.senders.shutdownNow();
 		this.client.close();
