--- a/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/RouterMain.java
+++ b/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/RouterMain.java
@@ -10,7 +10,6 @@
 import org.apache.commons.cli.ParseException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.slf4j.bridge.SLF4JBridgeHandler;
 
 import org.mulberrycross.router.Router;
 import org.mulberrycross.router.RouterSettings;
@@ -37,8 +36,7 @@
 	 * @param arguments {@code --settings FILE}
 	 */
 	public static void main(String[] arguments) {
-		SLF4JBridgeHandler.removeHandlersForRootLogger();
-		SLF4JBridgeHandler.install();
+		LogSetup.bridge();
 		Options options = new Options()
 			.addOption(Option.builder("s").longOpt("settings").hasArg().required().desc("settings file").get());
 		try {
@@ -63,6 +61,9 @@
 	}
 
 	private static void run(RouterSettings settings) throws IOException, InterruptedException {
+		if (settings.jsonLogs()) {
+			LogSetup.useJson();
+		}
 		Router router = new Router(settings);
 		Runtime.getRuntime().addShutdownHook(new Thread(router::shutDown, "shutdown"));
 		router.start();
