--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -38,6 +38,7 @@
 import org.mulberrycross.operator.OperatorObject;
 import org.mulberrycross.operator.PipelineObject;
 import org.mulberrycross.operator.TeamObject;
+import org.mulberrycross.operator.http.BurnHandler;
 import org.mulberrycross.operator.json.ObjectCodec;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
@@ -61,6 +62,12 @@
 
 	private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(30);
 
+	/**
+	 * Longest wait for answers at a shutdown. Longer than any answer takes, so that it
+	 * only ends a process whose answers can no longer end.
+	 */
+	private static final Duration DRAIN_TIMEOUT = Duration.ofHours(1);
+
 	private static final int PAGE_SIZE = 500;
 
 	private final RouterSettings settings;
@@ -104,6 +111,7 @@
 		this.listener.route(new HealthHandler(this.control::snapshot), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
+		this.listener.route(new BurnHandler(() -> this.control.burnReport().join()), BurnHandler.PATH);
 		this.follower = new Thread(this::follow, "configuration");
 		this.follower.setDaemon(true);
 	}
@@ -158,6 +166,23 @@
 		logger.info("daemon {} listens on {}", this.settings.name(), this.settings.listen());
 	}
 
+	/**
+	 * Stops the daemon without cutting off a request: reports that it is not ready, goes
+	 * on accepting for the grace period, and returns when the last answer has ended.
+	 */
+	public void shutDown() {
+		logger.info("daemon {} drains", this.settings.name());
+		this.control.drain();
+		try {
+			boolean complete = this.listener.drain(this.settings.shutdownGrace(), DRAIN_TIMEOUT);
+			logger.info("daemon {} stops, all requests ended: {}", this.settings.name(), complete);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		close();
+	}
+
 	/**
 	 * Waits until this daemon is closed.
 	 * @throws InterruptedException if the thread is interrupted while it waits
