--- a/mulberrycross/src/main/java/org/mulberrycross/caller/Admission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/Admission.java
@@ -87,7 +87,7 @@
 		if (this.waiting.containsKey(request.id()) || this.running.containsKey(request.id())) {
 			throw new IllegalArgumentException("request " + request.id() + " arrived twice");
 		}
-		int estimate = this.estimator.estimate(request);
+		int estimate = this.settings.fair() ? this.estimator.estimate(request) : request.maxTokens();
 		boolean isLong = this.settings.fair() && estimate >= this.inputs.longTokens().applyAsInt(request.pipeline());
 		Entry entry = new Entry(request, lane(request), estimate, isLong ? WorkClass.LONG : WorkClass.SHORT);
 		entry.queue().add(queueName(request), weight(request), entry);
