Send a request after a probe on its own connection, share team authentication

A call that must not be repeated needs a connection that is known to work before its first byte leaves. HttpClient.sendProbed opens a connection, sends a probe and sends the request on the same connection once the probe was answered; a failed probe is a true "not run". A 100-continue exchange was ruled out: its head is part of the call, so silence after it leaves the outcome unknown.

Team authentication moves from ChatHandler to TeamAuthenticator, for the second handler.

--- a/mulberrycross/src/main/java/org/mulberrycross/caller/http/ChatHandler.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/http/ChatHandler.java
@@ -6,7 +6,6 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
-import org.apache.commons.codec.digest.DigestUtils;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
@@ -33,12 +32,12 @@
 	/** Path that this handler serves. */
 	public static final String PATH = "/v1/chat/completions";
 
-	private static final String BEARER = "Bearer ";
-
 	private static final int DEFAULT_MAX_TOKENS = 64;
 
 	private final Supplier<Configuration> configuration;
 
+	private final TeamAuthenticator authenticator;
+
 	private final CompletionService service;
 
 	private final Tokenizer tokenizer;
@@ -61,6 +60,7 @@
 	public ChatHandler(Supplier<Configuration> configuration, CompletionService service, Tokenizer tokenizer,
 			Supplier<String> identifiers, MonotonicClock clock, ChatLimits limits) {
 		this.configuration = Objects.requireNonNull(configuration, "configuration");
+		this.authenticator = new TeamAuthenticator(configuration);
 		this.service = Objects.requireNonNull(service, "service");
 		this.tokenizer = Objects.requireNonNull(tokenizer, "tokenizer");
 		this.identifiers = Objects.requireNonNull(identifiers, "identifiers");
@@ -71,7 +71,7 @@
 	@Override
 	public void service(Request request, Response response) throws IOException {
 		try {
-			TeamObject team = authenticate(request);
+			TeamObject team = this.authenticator.authenticate(request);
 			ChatRequest chat = read(request);
 			CallerRequest checked = check(team, chat);
 			response.suspend();
@@ -86,18 +86,6 @@
 		return chat.stream().orElse(false) ? new StreamedAnswer(response, checked) : new WholeAnswer(response, checked);
 	}
 
-	private TeamObject authenticate(Request request) throws RequestFault {
-		String header = request.getHeader("Authorization");
-		if (header == null || !header.startsWith(BEARER)) {
-			throw new RequestFault(Step.AUTHENTICATE, 401, "missing_key",
-					"the Authorization header with a bearer key is missing");
-		}
-		String hash = DigestUtils.sha256Hex(header.substring(BEARER.length()).trim());
-		return this.configuration.get()
-			.teamByKeyHash(hash)
-			.orElseThrow(() -> new RequestFault(Step.AUTHENTICATE, 401, "wrong_key", "the key belongs to no team"));
-	}
-
 	private ChatRequest read(Request request) throws RequestFault, IOException {
 		byte[] body = HttpMessages.body(request, this.limits.maxBodyBytes())
 			.orElseThrow(() -> new RequestFault(Step.READ_REQUEST, 413, "body_too_large",
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -107,12 +107,56 @@
 		HttpExchange exchange = new HttpExchange(listener);
 		boolean reusable = false;
 		try {
-			HttpExchangeFilter.start(connection, exchange);
-			connection.write(encode(call));
-			HttpReply reply = exchange.reply().get(deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
+			HttpReply reply = exchange(connection, call, exchange, deadline);
 			reusable = !call.newConnection() && exchange.keepsAlive();
 			return reply;
 		}
+		finally {
+			finish(connection, reusable);
+		}
+	}
+
+	/**
+	 * Opens a connection, sends a probe on it, and sends the request on the same
+	 * connection only after the probe was answered, with any status. If the peer ends the
+	 * connection with that answer, the request goes out on another new connection.
+	 * @param probe the probe, not null
+	 * @param call the request, not null
+	 * @return the response to the request, of any status
+	 * @throws NotRunException if no byte of the request left this process, among others
+	 * since the probe was not answered within its timeout
+	 * @throws OutcomeUnknownException if the request may have left and no complete
+	 * response came within the timeout
+	 */
+	public HttpReply sendProbed(HttpCall probe, HttpCall call) throws PeerException {
+		Objects.requireNonNull(call, "call");
+		Connection<?> connection = connect(probe.onNewConnection());
+		try {
+			HttpExchange probed = new HttpExchange(BodyListener.NONE);
+			try {
+				exchange(connection, probe, probed, System.nanoTime() + probe.timeout().toNanos());
+			}
+			catch (OutcomeUnknownException ex) {
+				throw new NotRunException(ex.step(), ex.peer(), "probe before the call: " + ex.getMessage(), ex);
+			}
+			if (probed.keepsAlive() && connection.isOpen()) {
+				return exchange(connection, call, new HttpExchange(BodyListener.NONE),
+						System.nanoTime() + call.timeout().toNanos());
+			}
+		}
+		finally {
+			finish(connection, false);
+		}
+		return send(call.onNewConnection());
+	}
+
+	private static HttpReply exchange(Connection<?> connection, HttpCall call, HttpExchange exchange, long deadline)
+			throws OutcomeUnknownException {
+		try {
+			HttpExchangeFilter.start(connection, exchange);
+			connection.write(encode(call));
+			return exchange.reply().get(deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
+		}
 		catch (TimeoutException ex) {
 			throw unknown(call, "no complete reply within " + call.timeout().toMillis() + " ms", ex);
 		}
@@ -123,9 +167,6 @@
 			Thread.currentThread().interrupt();
 			throw unknown(call, "interrupted while waiting for the reply", ex);
 		}
-		finally {
-			finish(connection, reusable);
-		}
 	}
 
 	private void finish(Connection<?> connection, boolean reusable) {
