--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -22,6 +22,7 @@
 import org.mulberrycross.caller.Admission;
 import org.mulberrycross.caller.WordTokenizer;
 import org.mulberrycross.caller.http.ChatHandler;
+import org.mulberrycross.caller.http.ServiceHandler;
 import org.mulberrycross.engine.RoutePolicies;
 import org.mulberrycross.engine.StepwiseRouteRunner;
 import org.mulberrycross.engine.http.HttpStageClient;
@@ -76,6 +77,8 @@
 
 	private final RouterControl control;
 
+	private final ServiceRuntime services;
+
 	private final Thread follower;
 
 	private volatile boolean closed;
@@ -98,6 +101,8 @@
 		this.listener.route(new ChatHandler(() -> this.control.snapshot().configuration(), this.control,
 				new WordTokenizer(), () -> UUID.randomUUID().toString(), clock,
 				new ChatHandler.ChatLimits(settings.maxBodyBytes(), settings.maxWait())), ChatHandler.PATH);
+		this.services = new ServiceRuntime(() -> this.control.snapshot().configuration(), this.client, settings);
+		this.listener.route(this.services.handler(), ServiceHandler.PATHS);
 		this.listener.route(new HealthHandler(this.control::snapshot), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
@@ -121,6 +126,7 @@
 		this.controlThread.every(TICK, this.control::tick);
 		this.listener.start();
 		this.follower.start();
+		this.services.start();
 		logger.info("daemon {} listens on {}", this.settings.name(), this.settings.listen());
 	}
 
@@ -195,6 +201,7 @@
 		this.follower.interrupt();
 		this.listener.close();
 		this.traffic.shutdownNow();
+		this.services.close();
 		this.controlThread.close();
 		this.client.close();
 	}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/service/http/IntentCodec.java
@@ -0,0 +1,37 @@
+package org.mulberrycross.service.http;
+
+import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.http.Json;
+import org.mulberrycross.service.IntentRecord;
+
+/**
+ * JSON encoding of intent records; the body is in base 64. Thread-safe.
+ */
+public final class IntentCodec {
+
+	private static final Peer STORE = new Peer(Peer.Kind.PLATFORM, "");
+
+	private IntentCodec() {
+	}
+
+	/**
+	 * Encodes a record.
+	 * @param intent the record, not null
+	 * @return the JSON text in UTF-8
+	 */
+	public static byte[] encode(IntentRecord intent) {
+		return Json.encode(intent);
+	}
+
+	/**
+	 * Decodes a record.
+	 * @param json the JSON text in UTF-8, not null
+	 * @return the record
+	 * @throws PeerException if the text is not a record
+	 */
+	public static IntentRecord decode(byte[] json) throws PeerException {
+		return Json.decode(json, IntentRecord.class, STORE);
+	}
+
+}
