Resume streams after the loss of a stage

Cause: the runner sent each step once, so the loss of any stage ended the stream although the other stages still held their caches.

A step that makes no progress within a timeout derived from the engine's load is followed by a probe on a new connection. If the probe answers, the same step is sent again on a new connection, at most three times with doubled timeouts. Otherwise the stage is replaced, the attempt number grows, and the new stage gets its cache by export and import where the old engine answers, else from the retained inputs of the stage. Where those were dropped, the stages from the nearest retained inputs on run again. Layer passes that run again are counted.

EngineHealth ejects an engine after two failed probes, keeps at least half of each layer's engines and lets an engine back after a successful trial.

Ruled out: taking a mismatched reply for a lost stage. It is followed by a probe and a new send like a missing reply, since a repeated reply on a pooled connection shifts the replies after it. The HTTP client now closes a connection on which a reply arrives that no request asked for.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/CoverageLedger.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/CoverageLedger.java
@@ -14,6 +14,8 @@
 
 	private final String stream;
 
+	private final String version;
+
 	private final int layerCount;
 
 	private int attempt = 1;
@@ -24,13 +26,19 @@
 
 	private int nextLayer;
 
+	private int emitted;
+
+	private boolean finished;
+
 	/**
 	 * Creates a ledger for a stream that has not run yet.
 	 * @param stream the identifier of the stream, not null
+	 * @param version the model version that every layer must run
 	 * @param layerCount the number of layers of the model, 1 or more
 	 */
-	public CoverageLedger(String stream, int layerCount) {
+	public CoverageLedger(String stream, String version, int layerCount) {
 		this.stream = stream;
+		this.version = version;
 		this.layerCount = layerCount;
 	}
 
@@ -49,6 +57,31 @@
 		this.count = positions;
 	}
 
+	/**
+	 * Checks that a reply answers a step of the current attempt.
+	 * @param stage the stage that was asked, not null
+	 * @param reply the reply, not null
+	 * @param firstPosition the first position of the step
+	 * @param positions the number of positions of the step
+	 * @throws PeerException if the reply belongs to another stream, attempt, version,
+	 * position or stage, or has another number of outputs than the step asks for
+	 */
+	public void check(Stage stage, StepReply reply, int firstPosition, int positions) throws PeerException {
+		int outputs = (stage.layers().end() == this.layerCount) ? 1 : positions;
+		boolean matches = reply.stream().equals(this.stream) && reply.attempt() == this.attempt
+				&& reply.version().equals(this.version) && reply.position() == firstPosition
+				&& reply.count() == positions && reply.layers().equals(stage.layers())
+				&& reply.output().length == outputs;
+		if (!matches) {
+			throw new PeerException(Step.DECODE, new Peer(Peer.Kind.ENGINE, stage.engine()),
+					"reply for stream " + reply.stream() + " attempt " + reply.attempt() + " version " + reply.version()
+							+ " positions " + reply.position() + " (+" + reply.count() + ") layers " + reply.layers()
+							+ " does not answer stream " + this.stream + " attempt " + this.attempt + " version "
+							+ this.version + " positions " + firstPosition + " (+" + positions + ") layers "
+							+ stage.layers());
+		}
+	}
+
 	/**
 	 * Accepts a reply for the next layers of the positions in work.
 	 * @param stage the stage that was asked, not null
@@ -57,15 +90,10 @@
 	 * or ran other layers than the next ones
 	 */
 	public void accept(Stage stage, StepReply reply) throws PeerException {
-		boolean matches = reply.stream().equals(this.stream) && reply.attempt() == this.attempt
-				&& reply.position() == this.position && reply.count() == this.count
-				&& reply.layers().equals(stage.layers()) && reply.layers().first() == this.nextLayer;
-		if (!matches) {
-			throw new PeerException(Step.DECODE, new Peer(Peer.Kind.ENGINE, stage.engine()),
-					"reply for stream " + reply.stream() + " attempt " + reply.attempt() + " position "
-							+ reply.position() + " layers " + reply.layers() + " does not continue stream "
-							+ this.stream + " attempt " + this.attempt + " position " + this.position + " layer "
-							+ this.nextLayer);
+		check(stage, reply, this.position, this.count);
+		if (reply.layers().first() != this.nextLayer) {
+			throw new PeerException(Step.DECODE, new Peer(Peer.Kind.ENGINE, stage.engine()), "reply for layers "
+					+ reply.layers() + " of stream " + this.stream + " where layer " + this.nextLayer + " is next");
 		}
 		this.nextLayer = reply.layers().end();
 	}
@@ -81,6 +109,22 @@
 		}
 		this.position += this.count;
 		this.nextLayer = 0;
+		this.finished = true;
+	}
+
+	/**
+	 * Notes that the token of the finished positions is emitted.
+	 * @param index the index of the token in the answer, from 0
+	 * @throws IllegalStateException if the positions are not finished, or a token is left
+	 * out or emitted again
+	 */
+	public void emit(int index) {
+		if (!this.finished || index != this.emitted) {
+			throw new IllegalStateException("stream " + this.stream + " emits token " + index + " where token "
+					+ this.emitted + " is next, positions finished: " + this.finished);
+		}
+		this.finished = false;
+		this.emitted++;
 	}
 
 	/**
@@ -99,6 +143,14 @@
 		return this.position;
 	}
 
+	/**
+	 * Returns the number of positions in work.
+	 * @return the number, 1 or more after the first begin
+	 */
+	public int count() {
+		return this.count;
+	}
+
 	/**
 	 * Returns the next layer to run for the positions in work.
 	 * @return the layer, 0 if none has run
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
@@ -69,6 +69,18 @@
 						Math.max(0, state.outstanding() + change), state.suspected(), state.leaving()));
 	}
 
+	/**
+	 * Notes whether an engine is suspected to have failed.
+	 * @param engine the name of the engine, not null; ignored if it is not known
+	 * @param suspected whether it gets no new work
+	 */
+	public void suspect(String engine, boolean suspected) {
+		this.engines.computeIfPresent(engine,
+				(name, state) -> new EngineState(name, state.address(), state.dataCentre(), state.accelerator(),
+						state.model(), state.layers(), state.load(), state.loadNanos(), state.outstanding(), suspected,
+						state.leaving()));
+	}
+
 	/**
 	 * Returns the engines as they are now.
 	 * @param nanos the time on the daemon's monotonic clock
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/StepwiseRouteRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/StepwiseRouteRunner.java
@@ -2,54 +2,95 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.Executor;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.PeerException;
 
 /**
  * Runs a stream by one step per stage and token, driven from this process. The output of
- * each stage is the input of the next. Thread-safe.
+ * each stage is the input of the next. A stage that makes no progress is probed and
+ * replaced, and the stream goes on at the next position. Thread-safe.
  */
 public final class StepwiseRouteRunner implements RouteRunner {
 
-	private final StageClient client;
+	private static final Logger logger = LoggerFactory.getLogger(StepwiseRouteRunner.class);
+
+	private final StageCalls calls;
+
+	private final StepTimeouts timeouts;
+
+	private final RecoveryLimits limits;
+
+	private final EngineLoads loads;
 
-	private final Duration stepTimeout;
+	private final RecoveryListener listener;
+
+	private final MonotonicClock clock;
+
+	private final Executor cancels;
 
 	/**
 	 * Creates a runner.
-	 * @param client runs the steps, not null
-	 * @param stepTimeout the bound on one step, positive
+	 * @param calls the calls to engines, not null
+	 * @param timeouts the bounds on the wait for a step, not null
+	 * @param limits the bounds on recovery, not null
+	 * @param loads tells the load of engines before their first reply, not null
+	 * @param listener learns of losses and replacements, not null
+	 * @param clock the daemon's clock, not null
+	 * @param cancels runs cancel calls, so that a stream does not wait for them, not null
 	 */
-	public StepwiseRouteRunner(StageClient client, Duration stepTimeout) {
-		this.client = Objects.requireNonNull(client, "client");
-		this.stepTimeout = Objects.requireNonNull(stepTimeout, "stepTimeout");
+	public StepwiseRouteRunner(StageCalls calls, StepTimeouts timeouts, RecoveryLimits limits, EngineLoads loads,
+			RecoveryListener listener, MonotonicClock clock, Executor cancels) {
+		this.calls = Objects.requireNonNull(calls, "calls");
+		this.timeouts = Objects.requireNonNull(timeouts, "timeouts");
+		this.limits = Objects.requireNonNull(limits, "limits");
+		this.loads = Objects.requireNonNull(loads, "loads");
+		this.listener = Objects.requireNonNull(listener, "listener");
+		this.clock = Objects.requireNonNull(clock, "clock");
+		this.cancels = Objects.requireNonNull(cancels, "cancels");
 	}
 
 	@Override
-	public void run(StreamRequest request, Route route, TokenSink sink) throws PeerException {
-		CoverageLedger ledger = new CoverageLedger(request.stream(), route.layerCount());
-		long[] input = request.promptTokens();
-		for (int index = 0; index < request.maxTokens(); index++) {
-			StepReply last = runPosition(request, route, ledger, input);
-			sink.token(index, last.text());
-			input = last.output();
-		}
+	public void run(StreamRequest request, Route route, StageReplacement replacement, TokenSink sink)
+			throws PeerException {
+		new StreamRun(this, request, route, replacement).run(sink);
 	}
 
-	private StepReply runPosition(StreamRequest request, Route route, CoverageLedger ledger, long[] tokens)
-			throws PeerException {
-		ledger.begin(ledger.position(), tokens.length);
-		long[] input = tokens;
-		StepReply reply = null;
-		for (Stage stage : route.stages()) {
-			StepRequest step = new StepRequest(request.stream(), ledger.attempt(), route.model(), route.version(),
-					route.adapter(), stage.layers(), ledger.position(), input, request.priority());
-			reply = this.client.step(stage, step, this.stepTimeout);
-			ledger.accept(stage, reply);
-			input = reply.output();
-		}
-		ledger.finish();
-		return reply;
+	StageCalls calls() {
+		return this.calls;
+	}
+
+	RecoveryLimits limits() {
+		return this.limits;
+	}
+
+	RecoveryListener listener() {
+		return this.listener;
+	}
+
+	long nanos() {
+		return this.clock.nanos();
+	}
+
+	Duration timeout(StageProgress progress, int positions) {
+		Optional<EngineLoad> load = progress.load().or(() -> this.loads.load(progress.stage().engine()));
+		return this.timeouts.timeout(load, positions);
+	}
+
+	void cancel(Stage stage, String stream, int attempt) {
+		this.cancels.execute(() -> {
+			try {
+				this.calls.cancel().cancel(stage, stream, attempt, this.limits.cancelTimeout());
+			}
+			catch (PeerException ex) {
+				logger.debug("stream {} not cancelled on {}: {}", stream, stage.engine(), ex.toString());
+			}
+		});
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/http/HttpStageClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/http/HttpStageClient.java
@@ -4,10 +4,13 @@
 import java.util.Objects;
 
 import org.mulberrycross.NotRunException;
+import org.mulberrycross.OutcomeUnknownException;
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
+import org.mulberrycross.engine.KvCache;
 import org.mulberrycross.engine.Stage;
+import org.mulberrycross.engine.StageCalls;
 import org.mulberrycross.engine.StageClient;
 import org.mulberrycross.engine.StepReply;
 import org.mulberrycross.engine.StepRequest;
@@ -17,13 +20,30 @@
 import org.mulberrycross.http.Json;
 
 /**
- * Runs steps on engines by {@code POST /v1/step} with JSON. Thread-safe.
+ * Calls engines by HTTP with JSON. A refusal (4xx, 503) raises {@link NotRunException}
+ * and any other failure status {@link OutcomeUnknownException}. Thread-safe.
  */
 public final class HttpStageClient implements StageClient {
 
 	/** Path of the step call. */
 	public static final String STEP_PATH = "/v1/step";
 
+	/** Path of the cancel call. */
+	public static final String CANCEL_PATH = "/v1/cancel";
+
+	/** Path of the call that reads a KV cache. */
+	public static final String EXPORT_PATH = "/v1/kv/export";
+
+	/** Path of the call that hands over a KV cache. */
+	public static final String IMPORT_PATH = "/v1/kv/import";
+
+	/** Path of the probe. */
+	public static final String PROBE_PATH = "/healthz";
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int UNAVAILABLE = 503;
+
 	private final HttpClient client;
 
 	/**
@@ -34,16 +54,101 @@
 		this.client = Objects.requireNonNull(client, "client");
 	}
 
+	/**
+	 * Returns the calls that a stream needs.
+	 * @return the calls over this client
+	 */
+	public StageCalls calls() {
+		return new StageCalls(this, this::stepOnNewConnection, this::probe, this::cancel, this::exportCache,
+				this::importCache);
+	}
+
 	@Override
 	public StepReply step(Stage stage, StepRequest request, Duration timeout) throws PeerException {
-		Peer peer = new Peer(Peer.Kind.ENGINE, stage.engine());
+		HttpCall call = call(stage, request, timeout);
+		return Json.decode(send(call).body(), StepReply.class, call.peer());
+	}
+
+	/**
+	 * Runs one step on a connection opened for it.
+	 * @param stage the engine to run it on, not null
+	 * @param request the step, not null
+	 * @param timeout the bound on the wait, positive
+	 * @return the reply as received
+	 * @throws PeerException as {@link #step(Stage, StepRequest, Duration)} does
+	 */
+	public StepReply stepOnNewConnection(Stage stage, StepRequest request, Duration timeout) throws PeerException {
+		HttpCall call = call(stage, request, timeout).onNewConnection();
+		return Json.decode(send(call).body(), StepReply.class, call.peer());
+	}
+
+	/**
+	 * Asks an engine on a new connection whether it answers.
+	 * @param stage the engine, not null
+	 * @param timeout the bound on the wait, positive
+	 * @throws PeerException if it does not answer with a success in time
+	 */
+	public void probe(Stage stage, Duration timeout) throws PeerException {
+		send(HttpCall.get(Step.PROBE, peer(stage), stage.address(), PROBE_PATH, timeout).onNewConnection());
+	}
+
+	/**
+	 * Tells an engine that a stream ended.
+	 * @param stage the engine, not null
+	 * @param stream the identifier of the stream, not null
+	 * @param attempt the last attempt of the stream
+	 * @param timeout the bound on the wait, positive
+	 * @throws PeerException if the engine did not confirm
+	 */
+	public void cancel(Stage stage, String stream, int attempt, Duration timeout) throws PeerException {
+		send(HttpCall.post(Step.CANCEL, peer(stage), stage.address(), CANCEL_PATH,
+				Json.encode(new StreamMessage(stream, attempt)), timeout));
+	}
+
+	/**
+	 * Reads the KV cache of a stream.
+	 * @param stage the engine, not null
+	 * @param stream the identifier of the stream, not null
+	 * @param timeout the bound on the wait, positive
+	 * @return the cache
+	 * @throws PeerException if the engine does not answer or holds no cache of the stream
+	 */
+	public KvCache exportCache(Stage stage, String stream, Duration timeout) throws PeerException {
+		HttpCall call = HttpCall.post(Step.REPLACE_STAGE, peer(stage), stage.address(), EXPORT_PATH,
+				Json.encode(new StreamMessage(stream, 0)), timeout);
+		return Json.decode(send(call.onNewConnection()).body(), KvCache.class, call.peer());
+	}
+
+	/**
+	 * Hands over the KV cache of a stream.
+	 * @param stage the engine, not null
+	 * @param cache the cache, not null
+	 * @param timeout the bound on the wait, positive
+	 * @throws PeerException if the engine did not confirm
+	 */
+	public void importCache(Stage stage, KvCache cache, Duration timeout) throws PeerException {
+		send(HttpCall.post(Step.REPLACE_STAGE, peer(stage), stage.address(), IMPORT_PATH, Json.encode(cache), timeout));
+	}
+
+	private static HttpCall call(Stage stage, StepRequest request, Duration timeout) {
 		Step step = (request.input().length > 1) ? Step.PREFILL : Step.DECODE;
-		HttpReply reply = this.client
-			.send(HttpCall.post(step, peer, stage.address(), STEP_PATH, Json.encode(request), timeout));
-		if (!reply.isSuccess()) {
-			throw new NotRunException(step, peer, "engine refused the step with status " + reply.status());
+		return HttpCall.post(step, peer(stage), stage.address(), STEP_PATH, Json.encode(request), timeout);
+	}
+
+	private HttpReply send(HttpCall call) throws PeerException {
+		HttpReply reply = this.client.send(call);
+		if (reply.isSuccess()) {
+			return reply;
+		}
+		String message = "engine answered " + call.path() + " with status " + reply.status();
+		if (reply.status() < SERVER_ERROR || reply.status() == UNAVAILABLE) {
+			throw new NotRunException(call.step(), call.peer(), message);
 		}
-		return Json.decode(reply.body(), StepReply.class, peer);
+		throw new OutcomeUnknownException(call.step(), call.peer(), message, null);
+	}
+
+	private static Peer peer(Stage stage) {
+		return new Peer(Peer.Kind.ENGINE, stage.engine());
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
@@ -36,6 +36,10 @@
 		if (exchange != null) {
 			exchange.received(content);
 		}
+		else {
+			// A reply that no request asked for would be taken for that of the next one.
+			context.getConnection().closeSilently();
+		}
 		content.recycle();
 		return context.getStopAction();
 	}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/RecoveryMetrics.java
@@ -0,0 +1,55 @@
+package org.mulberrycross.router;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+
+import org.mulberrycross.engine.RecoveryEvent;
+import org.mulberrycross.engine.RecoveryListener;
+
+/**
+ * Counts what happens while streams recover. Thread-safe.
+ */
+final class RecoveryMetrics implements RecoveryListener {
+
+	private final Counter probesFailed;
+
+	private final Counter probesAnswered;
+
+	private final Counter stepsUnanswered;
+
+	private final Counter stagesReplaced;
+
+	private final Counter cachesMoved;
+
+	private final Counter layerPassesRerun;
+
+	RecoveryMetrics(MetricRegistry metrics) {
+		this.probesFailed = metrics.counter("streams.probes_failed");
+		this.probesAnswered = metrics.counter("streams.probes_answered");
+		this.stepsUnanswered = metrics.counter("streams.steps_unanswered");
+		this.stagesReplaced = metrics.counter("streams.stages_replaced");
+		this.cachesMoved = metrics.counter("streams.caches_moved");
+		this.layerPassesRerun = metrics.counter("streams.layer_passes_rerun");
+	}
+
+	@Override
+	public void on(RecoveryEvent event) {
+		if (event instanceof RecoveryEvent.ProbeFailed) {
+			this.probesFailed.inc();
+		}
+		else if (event instanceof RecoveryEvent.ProbeAnswered) {
+			this.probesAnswered.inc();
+		}
+		else if (event instanceof RecoveryEvent.StepsUnanswered) {
+			this.stepsUnanswered.inc();
+		}
+		else if (event instanceof RecoveryEvent.StageReplaced replaced) {
+			this.stagesReplaced.inc();
+			this.cachesMoved.inc(replaced.cacheMoved() ? 1 : 0);
+		}
+		else if (event instanceof RecoveryEvent.PassesRerun rerun) {
+			this.layerPassesRerun.inc(rerun.passes());
+		}
+	}
+
+}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
@@ -22,7 +23,12 @@
 import org.mulberrycross.caller.Admission;
 import org.mulberrycross.caller.WordTokenizer;
 import org.mulberrycross.caller.http.ChatHandler;
+import org.mulberrycross.engine.EngineLoad;
+import org.mulberrycross.engine.EngineState;
+import org.mulberrycross.engine.RecoveryLimits;
 import org.mulberrycross.engine.RoutePolicies;
+import org.mulberrycross.engine.StageCalls;
+import org.mulberrycross.engine.StepTimeouts;
 import org.mulberrycross.engine.StepwiseRouteRunner;
 import org.mulberrycross.engine.http.HttpStageClient;
 import org.mulberrycross.http.HttpClient;
@@ -49,6 +55,13 @@
 
 	private static final int CONTROL_QUEUE_LIMIT = 4096;
 
+	private static final int CANCEL_THREADS = 4;
+
+	private static final int CANCEL_QUEUE_LIMIT = 1024;
+
+	/** Covers garbage collection pauses and one retransmission of TCP (200 ms). */
+	private static final Duration STEP_FLOOR = Duration.ofMillis(250);
+
 	private static final Duration TICK = Duration.ofMillis(100);
 
 	private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(30);
@@ -63,6 +76,8 @@
 
 	private final ExecutorService traffic;
 
+	private final ExecutorService cancels = cancelThreads();
+
 	private final HttpClient client;
 
 	private final HttpListener listener;
@@ -83,10 +98,10 @@
 		this.traffic = trafficThreads(settings.maxStreams() + 1);
 		this.client = new HttpClient(SELECTOR_THREADS);
 		MonotonicClock clock = MonotonicClock.system();
+		StageCalls calls = new HttpStageClient(this.client).calls();
 		this.control = new RouterControl(this.controlThread, this.traffic, clock, RandomGenerator.getDefault(),
-				RoutePolicies.leastOutstanding(),
-				new StepwiseRouteRunner(new HttpStageClient(this.client), settings.stepTimeout()),
-				new Admission(settings.maxStreams(), settings.maxQueued()));
+				RoutePolicies.leastOutstanding(), runner(calls, clock),
+				new Admission(settings.maxStreams(), settings.maxQueued()), calls.probe());
 		this.listener = new HttpListener(settings.listen().host(), settings.listen().port(), WORKER_THREADS);
 		this.listener.route(new ChatHandler(() -> this.control.snapshot().configuration(), this.control,
 				new WordTokenizer(), () -> UUID.randomUUID().toString(), clock,
@@ -105,6 +120,29 @@
 		return executor;
 	}
 
+	private StepwiseRouteRunner runner(StageCalls calls, MonotonicClock clock) {
+		RecoveryMetrics recovery = new RecoveryMetrics(this.metrics);
+		return new StepwiseRouteRunner(calls, new StepTimeouts(STEP_FLOOR, this.settings.stepTimeout()),
+				RecoveryLimits.DEFAULT, this::engineLoad, (event) -> {
+					recovery.on(event);
+					this.control.recovered(event);
+				}, clock, this.cancels);
+	}
+
+	private Optional<EngineLoad> engineLoad(String engine) {
+		return this.control.snapshot().engines().engine(engine).flatMap(EngineState::load);
+	}
+
+	// Cancelling is best effort, since engines drop idle streams by themselves. Calls
+	// that
+	// find the queue full are left out.
+	private static ExecutorService cancelThreads() {
+		ThreadPoolExecutor executor = new ThreadPoolExecutor(CANCEL_THREADS, CANCEL_THREADS, 30, TimeUnit.SECONDS,
+				new LinkedBlockingQueue<>(CANCEL_QUEUE_LIMIT), new ThreadPoolExecutor.DiscardPolicy());
+		executor.allowCoreThreadTimeOut(true);
+		return executor;
+	}
+
 	/**
 	 * Starts to listen and to follow the configuration.
 	 * @throws IOException if the address cannot be bound
@@ -170,6 +208,7 @@
 		this.follower.interrupt();
 		this.listener.close();
 		this.traffic.shutdownNow();
+		this.cancels.shutdownNow();
 		this.controlThread.close();
 		this.client.close();
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
@@ -1,13 +1,18 @@
 package org.mulberrycross.router;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 
@@ -25,14 +30,20 @@
 import org.mulberrycross.caller.CallerAnswer;
 import org.mulberrycross.caller.CallerRequest;
 import org.mulberrycross.caller.CompletionService;
+import org.mulberrycross.engine.EngineHealth;
+import org.mulberrycross.engine.EngineState;
 import org.mulberrycross.engine.EngineTable;
 import org.mulberrycross.engine.EngineView;
+import org.mulberrycross.engine.HealthAction;
 import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.RecoveryEvent;
 import org.mulberrycross.engine.Route;
 import org.mulberrycross.engine.RoutePolicy;
 import org.mulberrycross.engine.RouteRequest;
 import org.mulberrycross.engine.RouteRunner;
 import org.mulberrycross.engine.Stage;
+import org.mulberrycross.engine.StageProbe;
+import org.mulberrycross.engine.StageReplacement;
 import org.mulberrycross.engine.StreamRequest;
 import org.mulberrycross.operator.Configuration;
 import org.mulberrycross.operator.ModelObject;
@@ -48,6 +59,11 @@
 
 	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
+	/** Bound on the wait of a stream for the control thread to choose a stage. */
+	private static final Duration REPLACEMENT_WAIT = Duration.ofMillis(500);
+
+	private static final Duration TRIAL_TIMEOUT = Duration.ofMillis(300);
+
 	private final ControlThread control;
 
 	private final Executor traffic;
@@ -62,6 +78,10 @@
 
 	private final Admission admission;
 
+	private final StageProbe probe;
+
+	private final EngineHealth health = new EngineHealth();
+
 	private final EngineTable engines = new EngineTable();
 
 	private final Map<String, CallerAnswer> waiting = new HashMap<>();
@@ -79,9 +99,10 @@
 	 * @param runner runs streams, not null
 	 * @param admission decides when requests run, not null; owned by this object from now
 	 * on
+	 * @param probe probes suspected engines on traffic threads, not null
 	 */
 	public RouterControl(ControlThread control, Executor traffic, MonotonicClock clock, RandomGenerator random,
-			RoutePolicy policy, RouteRunner runner, Admission admission) {
+			RoutePolicy policy, RouteRunner runner, Admission admission, StageProbe probe) {
 		this.control = Objects.requireNonNull(control, "control");
 		this.traffic = Objects.requireNonNull(traffic, "traffic");
 		this.clock = Objects.requireNonNull(clock, "clock");
@@ -89,6 +110,7 @@
 		this.policy = Objects.requireNonNull(policy, "policy");
 		this.runner = Objects.requireNonNull(runner, "runner");
 		this.admission = Objects.requireNonNull(admission, "admission");
+		this.probe = Objects.requireNonNull(probe, "probe");
 		this.snapshot = new AtomicReference<>(
 				new ControlSnapshot(Configuration.empty(), new EngineView(clock.nanos(), List.of()), false));
 	}
@@ -144,6 +166,59 @@
 	public void tick() {
 		this.control.assertCurrent();
 		perform(this.admission.tick(this.clock.nanos()));
+		performHealth(this.health.tick(this.clock.nanos()));
+	}
+
+	/**
+	 * Takes in what a stream learnt about an engine while it recovered.
+	 * @param event the event, not null
+	 */
+	public void recovered(RecoveryEvent event) {
+		this.control.post(() -> {
+			EngineView view = this.engines.view(this.clock.nanos());
+			if (event instanceof RecoveryEvent.ProbeFailed failed) {
+				performHealth(this.health.failed(failed.engine(), view));
+			}
+			else if (event instanceof RecoveryEvent.StepsUnanswered unanswered) {
+				performHealth(this.health.failed(unanswered.engine(), view));
+			}
+			else if (event instanceof RecoveryEvent.ProbeAnswered answered) {
+				this.health.answered(answered.engine());
+			}
+		});
+	}
+
+	private void performHealth(List<HealthAction> actions) {
+		for (HealthAction action : actions) {
+			if (action instanceof HealthAction.Try trial) {
+				this.engines.view(this.clock.nanos())
+					.engine(trial.engine())
+					.ifPresentOrElse(this::tryEngine, () -> this.health.forget(trial.engine()));
+				continue;
+			}
+			boolean eject = action instanceof HealthAction.Eject;
+			logger.warn("engine {} {}", action.engine(), eject ? "is suspected" : "answers again");
+			this.engines.suspect(action.engine(), eject);
+			publish(snapshot().configuration(), snapshot().draining());
+		}
+	}
+
+	private void tryEngine(EngineState engine) {
+		Stage stage = new Stage(engine.name(), engine.address(), engine.layers());
+		this.traffic.execute(() -> {
+			boolean answered = answersProbe(stage);
+			this.control.post(() -> performHealth(this.health.tried(stage.engine(), answered, this.clock.nanos())));
+		});
+	}
+
+	private boolean answersProbe(Stage stage) {
+		try {
+			this.probe.probe(stage, TRIAL_TIMEOUT);
+			return true;
+		}
+		catch (PeerException ex) {
+			return false;
+		}
 	}
 
 	private void perform(List<AdmissionAction> actions) {
@@ -167,11 +242,11 @@
 			this.control.post(() -> perform(this.admission.finished(this.clock.nanos())));
 			return;
 		}
-		List<Stage> stages = route.get().stages();
+		List<Stage> stages = new ArrayList<>(route.get().stages());
 		this.engines.acquire(stages);
 		publish(snapshot().configuration(), snapshot().draining());
 		this.traffic.execute(() -> {
-			stream(request, route.get(), answer);
+			stream(request, route.get(), (lost, excluded) -> replace(route.get(), stages, lost, excluded), answer);
 			this.control.post(() -> {
 				this.engines.release(stages);
 				publish(snapshot().configuration(), snapshot().draining());
@@ -193,10 +268,44 @@
 			.map((stages) -> new Route(wanted.model(), wanted.version(), wanted.adapter(), stages));
 	}
 
-	private void stream(CallerRequest request, Route route, CallerAnswer answer) {
+	private Optional<List<Stage>> replace(Route route, List<Stage> held, Stage lost, Set<String> excluded)
+			throws PeerException {
+		CompletableFuture<Optional<List<Stage>>> chosen = new CompletableFuture<>();
+		this.control.post(() -> {
+			RouteRequest wanted = new RouteRequest(route.model(), route.version(), route.adapter(), lost.layers(),
+					excluded);
+			Optional<List<Stage>> stages = this.policy.choose(wanted, this.engines.view(this.clock.nanos()),
+					this.random);
+			stages.ifPresent((found) -> exchange(held, lost, found));
+			chosen.complete(stages);
+		});
+		try {
+			return chosen.get(REPLACEMENT_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			throw new PeerException(Step.REPLACE_STAGE, new Peer(Peer.Kind.ENGINE, lost.engine()),
+					"no replacement chosen within " + REPLACEMENT_WAIT.toMillis() + " ms", ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new PeerException(Step.REPLACE_STAGE, new Peer(Peer.Kind.ENGINE, lost.engine()),
+					"interrupted while a replacement was chosen", ex);
+		}
+	}
+
+	private void exchange(List<Stage> held, Stage lost, List<Stage> found) {
+		if (held.remove(lost)) {
+			this.engines.release(List.of(lost));
+		}
+		held.addAll(found);
+		this.engines.acquire(found);
+		publish(snapshot().configuration(), snapshot().draining());
+	}
+
+	private void stream(CallerRequest request, Route route, StageReplacement replacement, CallerAnswer answer) {
 		StreamRequest stream = new StreamRequest(request.id(), request.promptTokens(), request.maxTokens(), 0);
 		try {
-			this.runner.run(stream, route, answer::token);
+			this.runner.run(stream, route, replacement, answer::token);
 			answer.complete();
 		}
 		catch (PeerException ex) {
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/CoverageLedgerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/CoverageLedgerTest.java
@@ -19,7 +19,7 @@
 
 	private static final Stage SECOND = new Stage("e2", new Address("127.0.0.1", 2), new LayerRange(4, 8));
 
-	private final CoverageLedger ledger = new CoverageLedger("s", 8);
+	private final CoverageLedger ledger = new CoverageLedger("s", "v1", 8);
 
 	/** Fails if a regular position is refused. */
 	@Test
@@ -64,7 +64,8 @@
 	}
 
 	private static StepReply reply(Stage stage, String stream, int attempt, int position, int count) {
-		return new StepReply(stream, attempt, "v1", stage.layers(), position, count, new long[count], "", LOAD);
+		return new StepReply(stream, attempt, "v1", stage.layers(), position, count,
+				new long[(stage.layers().end() == 8) ? 1 : count], "", LOAD);
 	}
 
 }
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/StepwiseRouteRunnerTest.java
@@ -0,0 +1,233 @@
+package org.mulberrycross.engine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.Executor;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mulberrycross.NotRunException;
+import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.Step;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/**
+ * Guards whole answers across the loss of stages, with engines and a clock in memory.
+ */
+class StepwiseRouteRunnerTest {
+
+	private static final int RANDOM_STEPS = 10_000;
+
+	private static final long[] PROMPT = { 5, 9, 2, 77, 31 };
+
+	private static final long FOREVER = Long.MAX_VALUE;
+
+	private final List<RecoveryEvent> events = new ArrayList<>();
+
+	private final List<String> tokens = new ArrayList<>();
+
+	private FakeEngines engines = new FakeEngines(new Random(1), 3);
+
+	private RecoveryLimits limits = limits(1 << 20, 8);
+
+	/**
+	 * Fails if any mix of crashes, freezes, silent connections, lost, late, stale and
+	 * repeated replies changes, cuts or repeats part of an answer.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20 })
+	void answersAreWholeUnderRandomFaults(long seed) throws PeerException {
+		Random random = new Random(seed);
+		this.engines = new FakeEngines(random, 4);
+		int whole = 0;
+		int failed = 0;
+		for (int stream = 0; this.engines.steps < RANDOM_STEPS; stream++) {
+			this.engines.faultRate = random.nextInt(30);
+			this.limits = limits(random.nextBoolean() ? 1 << 20 : 200, 200);
+			this.tokens.clear();
+			this.engines.nanos += Duration.ofSeconds(1).toNanos();
+			long[] prompt = random.longs(1 + random.nextInt(20), 0, 1000).toArray();
+			int maxTokens = 1 + random.nextInt(60);
+			List<String> expected = FakeEngines.answer(prompt, maxTokens);
+			try {
+				run(new StreamRequest("s" + stream, prompt, maxTokens, 0));
+				assertWithMessage("seed %s stream %s", seed, stream).that(this.tokens).isEqualTo(expected);
+				whole++;
+			}
+			catch (PeerException ex) {
+				assertWithMessage("seed %s stream %s", seed, stream).that(this.tokens)
+					.isEqualTo(expected.subList(0, this.tokens.size()));
+				assertThat(ex).hasMessageThat().contains("cannot go on at position");
+				failed++;
+			}
+		}
+		assertThat(whole).isGreaterThan(9 * failed);
+		assertThat(this.events.stream().anyMatch(RecoveryEvent.StageReplaced.class::isInstance)).isTrue();
+	}
+
+	/** Fails if the loss of one stage, at the prompt or later, breaks the answer. */
+	@ParameterizedTest
+	@CsvSource({ "0,0,crash", "1,0,crash", "2,0,freeze", "0,3,freeze", "1,3,crash", "2,3,freeze", "1,3,both" })
+	void continuesAfterLoss(int range, int position, String fault) throws PeerException {
+		Route route = this.engines.route();
+		runAndBreak(route, position, () -> {
+			FakeEngines.Engine engine = this.engines.engine(route.stages().get(range).engine());
+			if (fault.equals("freeze")) {
+				engine.freeze(FOREVER);
+				return;
+			}
+			engine.crash(FOREVER);
+			if (fault.equals("both")) {
+				this.engines.engine(route.stages().get(range + 1).engine()).crash(FOREVER);
+			}
+		});
+		assertThat(this.engines.lastAttempt).isGreaterThan(1);
+		assertThat(this.tokens).isEqualTo(FakeEngines.answer(PROMPT, 6));
+	}
+
+	/**
+	 * Fails if surviving stages run again although the inputs of the lost stage are
+	 * retained, or if the passes that run again are not counted.
+	 */
+	@Test
+	void rerunsOnlyTheLostStageWhenInputsAreRetained() throws PeerException {
+		Route route = this.engines.route();
+		runAndBreak(route, 3, () -> this.engines.engine(route.stages().get(1).engine()).crash(FOREVER));
+		int positionsBefore = PROMPT.length + 2;
+		assertThat(passesRerun()).isEqualTo(2L * positionsBefore);
+		assertThat(this.engines.layersRun).isEqualTo(6L * (PROMPT.length + 5) + passesRerun());
+	}
+
+	/** Fails if a stream whose retained inputs were dropped cannot go on. */
+	@Test
+	void rerunsEarlierStagesWhenInputsWereDropped() throws PeerException {
+		this.limits = limits(8, 8);
+		Route route = this.engines.route();
+		runAndBreak(route, 3, () -> this.engines.engine(route.stages().get(1).engine()).crash(FOREVER));
+		assertThat(this.tokens).isEqualTo(FakeEngines.answer(PROMPT, 6));
+		int positionsBefore = PROMPT.length + 2;
+		assertThat(passesRerun()).isAtLeast(2L * positionsBefore + 2L * (positionsBefore + 1));
+		assertThat(this.engines.layersRun).isEqualTo(6L * (PROMPT.length + 5) + passesRerun());
+	}
+
+	/** Fails if a leaving engine's cache is recomputed instead of moved. */
+	@Test
+	void movesTheCacheOfAnEngineThatStillAnswers() throws PeerException {
+		this.engines = new FakeEngines(new Random(1), 2);
+		Route route = this.engines.route();
+		runAndBreak(route, 3, () -> this.engines.engine(route.stages().get(1).engine()).leave(FOREVER));
+		assertThat(this.tokens).isEqualTo(FakeEngines.answer(PROMPT, 6));
+		assertThat(this.events).contains(new RecoveryEvent.StageReplaced(route.stages().get(1).engine(), true));
+		assertThat(passesRerun()).isEqualTo(0);
+	}
+
+	/** Fails if a silent connection costs an engine that still works. */
+	@Test
+	void keepsTheEngineOfASilentConnection() throws PeerException {
+		Route route = this.engines.route();
+		runAndBreak(route, 3, () -> this.engines.engine(route.stages().get(1).engine()).silence(FOREVER));
+		assertThat(this.tokens).isEqualTo(FakeEngines.answer(PROMPT, 6));
+		assertThat(this.events).contains(new RecoveryEvent.ProbeAnswered(route.stages().get(1).engine()));
+		assertThat(this.events.stream().noneMatch(RecoveryEvent.StageReplaced.class::isInstance)).isTrue();
+	}
+
+	/** Fails if a stream replaces stages without end, or hides why it stopped. */
+	@Test
+	void stopsAfterTheLastReplacement() {
+		this.limits = limits(1 << 20, 1);
+		Route route = this.engines.route();
+		PeerException error = assertThrows(PeerException.class, () -> runAndBreak(route, 3,
+				() -> List.of("r1-0", "r1-1", "r1-2").forEach((name) -> this.engines.engine(name).crash(FOREVER))));
+		assertThat(error.step()).isEqualTo(Step.REPLACE_STAGE);
+		assertThat(error).hasMessageThat().contains("after 1 replacements");
+		assertThat(this.tokens).hasSize(3);
+	}
+
+	/** Fails if recovery waits past its bound for engines that never answer. */
+	@Test
+	void stopsWhenRecoveryTakesTooLong() {
+		this.engines.splits = false;
+		this.limits = new RecoveryLimits(3, 1000, Duration.ofSeconds(4), Duration.ofMillis(300), Duration.ofMillis(500),
+				Duration.ofMillis(300), 1 << 20, 4);
+		Route route = this.engines.route();
+		PeerException error = assertThrows(PeerException.class, () -> runAndBreak(route, 3,
+				() -> List.of("r1-0", "r1-1", "r1-2").forEach((name) -> this.engines.engine(name).freeze(FOREVER))));
+		assertThat(error).hasMessageThat().contains("recovery took longer than 4000 ms");
+		assertThat(this.engines.nanos).isAtMost(Duration.ofSeconds(5).toNanos());
+	}
+
+	/** Fails if a stream that reached no engine is not reported as not run. */
+	@Test
+	void reportsNotRunWhenNoEngineWasReached() {
+		Route route = this.engines.route();
+		List.of("r0-0", "r0-1", "r0-2").forEach((name) -> this.engines.engine(name).crash(FOREVER));
+		assertThrows(NotRunException.class, () -> runAndBreak(route, -1, () -> {
+		}));
+	}
+
+	/** Fails if engines keep the caches of a stream whose caller is gone. */
+	@Test
+	void cancelsWhenTheCallerIsGone() {
+		Route route = this.engines.route();
+		StreamRequest request = new StreamRequest("s", PROMPT, 6, 0);
+		assertThrows(PeerException.class, () -> runner().run(request, route, this::replace, (index, text) -> {
+			throw new PeerException(Step.WRITE_ANSWER, new Peer(Peer.Kind.CALLER, "t"), "gone");
+		}));
+		route.stages()
+			.forEach((stage) -> assertThat(this.engines.engine(stage.engine()).cancelled).containsExactly("s"));
+	}
+
+	private void runAndBreak(Route route, int position, Runnable fault) throws PeerException {
+		if (position == 0) {
+			fault.run();
+		}
+		runner().run(new StreamRequest("s", PROMPT, 6, 0), route, this::replace, (index, text) -> {
+			this.tokens.add(text);
+			if (index + 1 == position) {
+				fault.run();
+			}
+		});
+	}
+
+	private void run(StreamRequest request) throws PeerException {
+		runner().run(request, this.engines.route(), this::replace, (index, text) -> {
+			assertThat(index).isEqualTo(this.tokens.size());
+			this.tokens.add(text);
+		});
+	}
+
+	private Optional<List<Stage>> replace(Stage lost, Set<String> excluded) {
+		return this.engines.choose(lost.layers(), excluded);
+	}
+
+	private StepwiseRouteRunner runner() {
+		Executor direct = Runnable::run;
+		return new StepwiseRouteRunner(this.engines.calls(),
+				new StepTimeouts(Duration.ofMillis(100), Duration.ofMillis(400)), this.limits,
+				(engine) -> Optional.empty(), this.events::add, () -> this.engines.nanos, direct);
+	}
+
+	private long passesRerun() {
+		return this.events.stream()
+			.filter(RecoveryEvent.PassesRerun.class::isInstance)
+			.mapToLong((event) -> ((RecoveryEvent.PassesRerun) event).passes())
+			.sum();
+	}
+
+	private static RecoveryLimits limits(long retainedBytes, int replacements) {
+		return new RecoveryLimits(3, replacements, Duration.ofSeconds(10), Duration.ofMillis(300),
+				Duration.ofMillis(500), Duration.ofMillis(300), retainedBytes, 4);
+	}
+
+}
