Give the engine stand-in recovery calls and fault switches

The engine stand-in answers cancel, KV export and import, keeps its caches in a limited memory, drops idle ones, and starts a stream again when position 0 comes under a later attempt. Its faults (crash, freeze, silent connections, refused steps, leaving, delay, stale replies) are set on a port of their own.

Before, a repeated position under a later attempt got a reply that named the older one.

--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineHandler.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineHandler.java
@@ -2,6 +2,12 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
@@ -9,7 +15,10 @@
 
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.engine.KvCache;
 import org.mulberrycross.engine.StepRequest;
+import org.mulberrycross.engine.http.HttpStageClient;
+import org.mulberrycross.engine.http.StreamMessage;
 import org.mulberrycross.http.HttpMessages;
 import org.mulberrycross.http.Json;
 
@@ -20,49 +29,99 @@
 
 	private static final int MAX_BODY_BYTES = 64 << 20;
 
+	private static final Peer ROUTER = new Peer(Peer.Kind.SIBLING, "");
+
 	private final EngineStandin engine;
 
+	private final EngineFaults faults;
+
+	private final ScheduledExecutorService delayed = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread thread = new Thread(task, "delayed-replies");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final AtomicLong steps = new AtomicLong();
+
+	private final AtomicReference<byte[]> previousReply = new AtomicReference<>();
+
 	/**
 	 * Creates a handler.
 	 * @param engine the engine to serve, not null
+	 * @param faults the switches that make it misbehave, not null
 	 */
-	public EngineHandler(EngineStandin engine) {
+	public EngineHandler(EngineStandin engine, EngineFaults faults) {
 		this.engine = engine;
+		this.faults = faults;
 	}
 
 	@Override
 	public void service(Request request, Response response) throws IOException {
-		switch (request.getRequestURI()) {
-			case "/v1/step" -> step(request, response);
-			case "/v1/load" -> HttpMessages.reply(response, 200, this.engine.load());
-			case "/healthz" -> HttpMessages.reply(response, 200, Map.of("ok", true));
-			default -> HttpMessages.reply(response, 404, Map.of("error", "no such path"));
+		if (this.faults.swallows(request.getRequest().getConnection())) {
+			response.suspend();
+			return;
 		}
-	}
-
-	private void step(Request request, Response response) throws IOException {
 		byte[] body = HttpMessages.body(request, MAX_BODY_BYTES).orElse(new byte[0]);
-		StepRequest step;
 		try {
-			step = Json.decode(body, StepRequest.class, new Peer(Peer.Kind.CALLER, ""));
+			answer(request.getRequestURI(), body, response);
 		}
 		catch (PeerException ex) {
 			HttpMessages.reply(response, 400, Map.of("error", ex.getMessage()));
+		}
+	}
+
+	private void answer(String path, byte[] body, Response response) throws IOException, PeerException {
+		switch (path) {
+			case HttpStageClient.STEP_PATH -> step(Json.decode(body, StepRequest.class, ROUTER), response);
+			case HttpStageClient.CANCEL_PATH -> {
+				StreamMessage message = Json.decode(body, StreamMessage.class, ROUTER);
+				this.engine.cancel(message.stream(), message.attempt());
+				HttpMessages.reply(response, 200, Map.of("ok", true));
+			}
+			case HttpStageClient.EXPORT_PATH -> {
+				Optional<KvCache> cache = this.engine
+					.exportCache(Json.decode(body, StreamMessage.class, ROUTER).stream());
+				HttpMessages.reply(response, cache.isPresent() ? 200 : 404,
+						cache.<Object>map((found) -> found).orElse(Map.of("error", "no cache")));
+			}
+			case HttpStageClient.IMPORT_PATH -> {
+				boolean taken = this.engine.importCache(Json.decode(body, KvCache.class, ROUTER));
+				HttpMessages.reply(response, taken ? 200 : 409, Map.of("ok", taken));
+			}
+			case "/v1/load" -> HttpMessages.reply(response, 200, this.engine.load());
+			case HttpStageClient.PROBE_PATH -> HttpMessages.reply(response, 200, Map.of("ok", true));
+			default -> HttpMessages.reply(response, 404, Map.of("error", "no such path"));
+		}
+	}
+
+	private void step(StepRequest step, Response response) throws IOException {
+		if (this.faults.refusesSteps()) {
+			HttpMessages.reply(response, 503, Map.of("error", "no steps"));
 			return;
 		}
 		response.suspend();
 		this.engine.submit(step, (status, reply) -> {
-			try {
-				HttpMessages.reply(response, status, reply);
-			}
-			catch (IOException ex) {
-				// The router has closed the connection; it asks again if it needs the
-				// reply.
-			}
-			finally {
-				response.resume();
+			byte[] previous = this.previousReply.getAndSet(reply);
+			boolean stale = previous != null && this.faults.staleAt(this.steps.incrementAndGet());
+			long delay = this.faults.delayMillis();
+			if (delay == 0) {
+				send(response, status, stale ? previous : reply);
+				return;
 			}
+			this.delayed.schedule(() -> send(response, status, stale ? previous : reply), delay, TimeUnit.MILLISECONDS);
 		});
 	}
 
+	private static void send(Response response, int status, byte[] reply) {
+		try {
+			HttpMessages.reply(response, status, reply);
+		}
+		catch (IOException ex) {
+			// The router has closed the connection; it asks again if it needs the reply.
+		}
+		finally {
+			response.resume();
+		}
+	}
+
 }
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineMain.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineMain.java
@@ -16,6 +16,8 @@
 
 	private static final int WORKER_THREADS = 8;
 
+	private static final int EXIT_CRASH = 137;
+
 	private EngineMain() {
 	}
 
@@ -27,6 +29,7 @@
 	 */
 	public static void main(String[] arguments) throws IOException, InterruptedException {
 		Options options = new Options().addOption(null, "port", true, "port on 127.0.0.1")
+			.addOption(null, "fault-port", true, "port of the fault switches, none if absent")
 			.addOption(null, "first-layer", true, "first layer")
 			.addOption(null, "end-layer", true, "layer after the last one")
 			.addOption(null, "model-layers", true, "layers of the whole model")
@@ -39,8 +42,14 @@
 				CommandLines.number(line, "model-layers", end), line.getOptionValue("version", "v1"),
 				CommandLines.number(line, "batch", 32), CommandLines.number(line, "step-micros", 2000));
 		HttpListener listener = new HttpListener("127.0.0.1", CommandLines.number(line, "port", 0), WORKER_THREADS);
-		listener.route(new EngineHandler(engine), "/");
+		EngineFaults faults = new EngineFaults(() -> Runtime.getRuntime().halt(EXIT_CRASH));
+		listener.route(new EngineHandler(engine, faults), "/");
 		listener.start();
+		if (line.hasOption("fault-port")) {
+			HttpListener switches = new HttpListener("127.0.0.1", CommandLines.number(line, "fault-port", 0), 1);
+			switches.route(new FaultHandler(engine, faults), FaultHandler.PATH);
+			switches.start();
+		}
 		System.out.println("engine listens on " + listener.port());
 		listener.awaitClose();
 	}
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineStandin.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineStandin.java
@@ -1,16 +1,18 @@
 package org.mulberrycross.standins.engine;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.PriorityBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BiConsumer;
 
 import org.mulberrycross.engine.EngineLoad;
+import org.mulberrycross.engine.KvCache;
 import org.mulberrycross.engine.LayerRange;
 import org.mulberrycross.engine.StepReply;
 import org.mulberrycross.engine.StepRequest;
@@ -26,6 +28,12 @@
 
 	private static final int CONFLICT = 409;
 
+	private static final int UNAVAILABLE = 503;
+
+	private static final long MAX_CACHE_BYTES = 256L << 20;
+
+	private static final Duration IDLE_LIMIT = Duration.ofSeconds(60);
+
 	private final LayerRange layers;
 
 	private final int modelLayers;
@@ -42,12 +50,14 @@
 
 	private final AtomicLong order = new AtomicLong();
 
-	private final Map<String, StreamCache> caches = new HashMap<>();
+	private final StreamCaches caches = new StreamCaches(MAX_CACHE_BYTES, IDLE_LIMIT.toNanos());
 
 	private final Thread batchThread = new Thread(this::runBatches, "batch");
 
 	private volatile int running;
 
+	private volatile boolean leaving;
+
 	private volatile boolean closed;
 
 	/**
@@ -83,7 +93,7 @@
 	 * @return the load
 	 */
 	public EngineLoad load() {
-		return new EngineLoad(this.running, this.queue.size(), this.batchLimit, this.stepMicros, false);
+		return new EngineLoad(this.running, this.queue.size(), this.batchLimit, this.stepMicros, this.leaving);
 	}
 
 	private void runBatches() {
@@ -104,30 +114,106 @@
 		}
 	}
 
+	/**
+	 * Sets whether the engine is about to stop. It then takes no new streams.
+	 * @param on whether it is
+	 */
+	public void leaving(boolean on) {
+		this.leaving = on;
+	}
+
+	/**
+	 * Drops the cache of a stream, unless a later attempt uses it.
+	 * @param stream the identifier of the stream, not null
+	 * @param attempt the attempt that ended
+	 */
+	public void cancel(String stream, int attempt) {
+		synchronized (this.caches) {
+			if (this.caches.find(stream).filter((cache) -> cache.attempt() <= attempt).isPresent()) {
+				this.caches.remove(stream);
+			}
+		}
+	}
+
+	/**
+	 * Returns a copy of the cache of a stream.
+	 * @param stream the identifier of the stream, not null
+	 * @return the cache, or empty if there is none
+	 */
+	public Optional<KvCache> exportCache(String stream) {
+		synchronized (this.caches) {
+			return this.caches.find(stream).map((cache) -> cache.export(stream, this.version));
+		}
+	}
+
+	/**
+	 * Takes over the cache of a stream.
+	 * @param cache the cache, not null
+	 * @return false if it is of another version or of layers that are not held, or a
+	 * later attempt of the stream is here
+	 */
+	public boolean importCache(KvCache cache) {
+		synchronized (this.caches) {
+			boolean older = this.caches.find(cache.stream())
+				.filter((known) -> known.attempt() > cache.attempt())
+				.isPresent();
+			boolean fits = cache.version().equals(this.version) && this.layers.contains(cache.layers())
+					&& cache.content().length == cache.layers().size() * Long.BYTES;
+			if (older || !fits) {
+				return false;
+			}
+			StreamCache imported = new StreamCache(cache);
+			imported.used(System.nanoTime());
+			this.caches.put(cache.stream(), imported);
+			return true;
+		}
+	}
+
 	private void run(Pending pending) {
-		StepRequest request = pending.request();
+		Outcome outcome;
+		synchronized (this.caches) {
+			long now = System.nanoTime();
+			outcome = run(pending.request(), now);
+			this.caches.trim(now);
+		}
+		pending.reply().accept(outcome.status(), outcome.body());
+	}
+
+	private Outcome run(StepRequest request, long now) {
 		if (!request.version().equals(this.version) || !this.layers.contains(request.layers())) {
-			pending.reply().accept(CONFLICT, Json.encode(Map.of("error", "wrong version or layers")));
-			return;
+			return refused(CONFLICT, "wrong version or layers");
+		}
+		Optional<StreamCache> known = this.caches.find(request.stream());
+		boolean starts = request.position() == 0
+				&& known.filter((cache) -> cache.attempt() >= request.attempt()).isEmpty();
+		if (known.isEmpty() && !starts) {
+			return refused(CONFLICT, "no cache of the stream");
+		}
+		if (known.isEmpty() && this.leaving) {
+			return refused(UNAVAILABLE, "leaving");
+		}
+		StreamCache cache = starts ? new StreamCache(request.layers(), request.attempt()) : known.orElseThrow();
+		if (starts) {
+			this.caches.put(request.stream(), cache);
 		}
-		StreamCache cache = this.caches.computeIfAbsent(request.stream(),
-				(stream) -> new StreamCache(request.layers(), request.attempt()));
 		if (request.attempt() < cache.attempt() || !request.layers().equals(cache.layers())) {
-			pending.reply().accept(CONFLICT, Json.encode(Map.of("error", "old attempt or other layers")));
-			return;
+			return refused(CONFLICT, "old attempt or other layers");
 		}
-		cache.attempt(request.attempt());
-		if (request.position() == cache.lastPosition()) {
-			pending.reply().accept(OK, cache.lastReply());
-			return;
+		cache.used(now);
+		if (request.position() == cache.lastPosition() && request.attempt() == cache.attempt()) {
+			return new Outcome(OK, cache.lastReply());
 		}
 		if (request.position() != cache.nextPosition()) {
-			pending.reply().accept(CONFLICT, Json.encode(Map.of("error", "position is not " + cache.nextPosition())));
-			return;
+			return refused(CONFLICT, "position is not " + cache.nextPosition());
 		}
+		cache.attempt(request.attempt());
 		byte[] reply = Json.encode(compute(request, cache));
 		cache.ran(request.position(), request.input().length, reply);
-		pending.reply().accept(OK, reply);
+		return new Outcome(OK, reply);
+	}
+
+	private static Outcome refused(int status, String reason) {
+		return new Outcome(status, Json.encode(Map.of("error", reason)));
 	}
 
 	private StepReply compute(StepRequest request, StreamCache cache) {
@@ -156,6 +242,16 @@
 		this.batchThread.interrupt();
 	}
 
+	/**
+	 * The answer to a step.
+	 *
+	 * @param status the status
+	 * @param body the body
+	 */
+	private record Outcome(int status, byte[] body) {
+
+	}
+
 	/**
 	 * A step that waits for a batch.
 	 *
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/EngineHealthTest.java
@@ -0,0 +1,112 @@
+package org.mulberrycross.engine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import org.mulberrycross.Address;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards the suspicion of engines and the share of capacity that it may take away.
+ */
+class EngineHealthTest {
+
+	private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+	private final EngineHealth health = new EngineHealth();
+
+	private final Set<String> ejected = new HashSet<>();
+
+	private long now = 1;
+
+	/** Fails if one lost probe takes an engine out of service. */
+	@Test
+	void ejectsAfterTheSecondFailedProbe() {
+		assertThat(fail("a", "b")).isEmpty();
+		assertThat(fail("a", "b")).containsExactly(new HealthAction.Eject("a"));
+	}
+
+	/** Fails if failures that lie before an answer count. */
+	@Test
+	void forgetsFailuresAfterAnAnswer() {
+		fail("a", "b");
+		this.health.answered("a");
+		assertThat(fail("a", "b")).isEmpty();
+	}
+
+	/** Fails if the last engine of a layer is ejected. */
+	@Test
+	void keepsTheLastEngineOfALayer() {
+		for (int i = 0; i < 5; i++) {
+			assertThat(fail("a")).isEmpty();
+		}
+	}
+
+	/** Fails if more than half of the engines of a layer are ejected. */
+	@Test
+	void keepsHalfOfTheEnginesOfALayer() {
+		String[] engines = { "a", "b", "c", "d", "e" };
+		for (String engine : engines) {
+			fail(engine, engines);
+			fail(engine, engines);
+		}
+		assertThat(this.ejected).containsExactly("a", "b");
+	}
+
+	/** Fails if trials run at once, side by side, or at a rate that does not fall. */
+	@Test
+	void triesAgainAtGrowingIntervals() {
+		fail("a", "b");
+		fail("a", "b");
+		List<Long> trials = new ArrayList<>();
+		for (int tick = 0; tick < 200; tick++) {
+			this.now += SECOND / 2;
+			for (HealthAction action : this.health.tick(this.now)) {
+				assertThat(action).isEqualTo(new HealthAction.Try("a"));
+				assertThat(this.health.tick(this.now)).isEmpty();
+				trials.add((this.now - 1) / SECOND);
+				assertThat(this.health.tried("a", false, this.now)).isEmpty();
+			}
+		}
+		assertThat(trials).containsExactly(1L, 3L, 7L, 15L, 31L, 61L, 91L).inOrder();
+	}
+
+	/**
+	 * Fails if a successful trial does not let the engine back, or a relapse is
+	 * forgotten.
+	 */
+	@Test
+	void readmitsAfterASuccessfulTrialAndWaitsLongerAfterARelapse() {
+		fail("a", "b");
+		fail("a", "b");
+		this.now += SECOND;
+		this.health.tick(this.now);
+		assertThat(this.health.tried("a", true, this.now)).containsExactly(new HealthAction.Readmit("a"));
+		this.ejected.clear();
+		fail("a", "b");
+		fail("a", "b");
+		assertThat(this.health.tick(this.now + SECOND)).isEmpty();
+		assertThat(this.health.tick(this.now + 2 * SECOND)).containsExactly(new HealthAction.Try("a"));
+	}
+
+	private List<HealthAction> fail(String engine, String... engines) {
+		List<EngineState> states = new ArrayList<>();
+		Set<String> names = new HashSet<>(List.of(engines));
+		names.add(engine);
+		for (String name : names) {
+			states.add(new EngineState(name, new Address("127.0.0.1", 1), "d", "k", "m", new LayerRange(0, 4),
+					Optional.empty(), 0, 0, this.ejected.contains(name), false));
+		}
+		List<HealthAction> actions = this.health.failed(engine, new EngineView(this.now, states));
+		actions.forEach((action) -> this.ejected.add(action.engine()));
+		return actions;
+	}
+
+}
