--- a/mulberrycross/src/main/java/org/mulberrycross/operator/json/ObjectCodec.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/operator/json/ObjectCodec.java
@@ -1,9 +1,14 @@
 package org.mulberrycross.operator.json;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Objects;
 
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 
@@ -29,9 +34,50 @@
 		.with(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
 		.with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
+	private static final ObjectMapper TYPED = Json.mapper().copy().addMixIn(OperatorObject.class, Typed.class);
+
+	private static final ObjectReader FILE_READER = TYPED.readerForListOf(OperatorObject.class)
+		.with(DeserializationFeature.ACCEPT_SINGLE_VALUE_AS_ARRAY)
+		.with(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
 	private ObjectCodec() {
 	}
 
+	/**
+	 * Returns a mapper that writes each object with its kind in the field {@code kind}
+	 * and reads it back as an object of that kind. It ignores unknown fields.
+	 * @return the mapper, not to be reconfigured
+	 */
+	public static ObjectMapper typedMapper() {
+		return TYPED;
+	}
+
+	/**
+	 * Decodes a file with one object or a list of objects, each with its kind in the
+	 * field {@code kind}.
+	 * @param name the name of the file, for the error
+	 * @param json the JSON text in UTF-8, not null
+	 * @return the objects in the order of the file
+	 * @throws PeerException if the text is not such a file
+	 */
+	public static List<OperatorObject> decodeFile(String name, byte[] json) throws PeerException {
+		Peer peer = new Peer(Peer.Kind.OPERATOR, name);
+		try {
+			List<OperatorObject> objects = FILE_READER.readValue(json);
+			if (objects == null || objects.contains(null)) {
+				throw new PeerException(Step.CODEC, peer, "an object is null");
+			}
+			return objects;
+		}
+		catch (JsonProcessingException ex) {
+			throw new PeerException(Step.CODEC, peer, ex.getOriginalMessage(), ex);
+		}
+		catch (IOException ex) {
+			throw new PeerException(Step.CODEC, peer, "text is not a list of objects", ex);
+		}
+	}
+
 	/**
 	 * Encodes an object.
 	 * @param object the object, not null
@@ -76,4 +122,16 @@
 		};
 	}
 
+	/**
+	 * Adds the field {@code kind} to the JSON form of an object.
+	 */
+	@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
+	@JsonSubTypes({ @JsonSubTypes.Type(value = ModelObject.class, name = "model"),
+			@JsonSubTypes.Type(value = PipelineObject.class, name = "pipeline"),
+			@JsonSubTypes.Type(value = TeamObject.class, name = "team"),
+			@JsonSubTypes.Type(value = UpstreamObject.class, name = "upstream") })
+	private interface Typed {
+
+	}
+
 }
