Publish, follow and edit the configuration through the object API

Follower: whole generations, upwards only, digests verified; it is also a source for siblings. The router follows accepted generations instead of the operators' raw objects. The command line validates, applies, deletes, lists and shows the status. The platform stand-in gets faults, call counts and the limit of 1 MB.

Chunks carry a unique token: without it the content of a bucket can recur after a deletion, and a publisher that was paused while it removed the old chunk would remove one that the current head names.

Found by the contract test over HTTP: a deletion in a watch was decoded as an object whose value is JSON null. It is now a deletion.

--- /dev/null
+++ b/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/OperatorMain.java
@@ -0,0 +1,264 @@
+package org.mulberrycross.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.slf4j.bridge.SLF4JBridgeHandler;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.http.HttpClient;
+import org.mulberrycross.operator.Configuration;
+import org.mulberrycross.operator.ConfigurationValidator;
+import org.mulberrycross.operator.Fault;
+import org.mulberrycross.operator.ObjectKind;
+import org.mulberrycross.operator.ObjectStatus;
+import org.mulberrycross.operator.OperatorObject;
+import org.mulberrycross.operator.StatusReport;
+import org.mulberrycross.operator.json.ObjectCodec;
+import org.mulberrycross.platform.ConfigurationCodec;
+import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.OperatorEdit;
+import org.mulberrycross.platform.OperatorWorkspace;
+import org.mulberrycross.platform.http.HttpObjectStore;
+import org.mulberrycross.platform.http.JsonConfigurationCodec;
+
+/**
+ * Command line for operators. It edits objects in the object API and reads their status;
+ * it never talks to a daemon. Not thread-safe.
+ */
+public final class OperatorMain {
+
+	static final int EXIT_FAILURE = 1;
+
+	static final int EXIT_USAGE = 2;
+
+	private static final String USAGE = String.join(System.lineSeparator(),
+			"usage: operator [--platform HOST:PORT] [--timeout-ms N] COMMAND ARGUMENT...",
+			"  validate FILE...    check the objects in JSON files, with --platform together with the stored objects",
+			"  apply FILE...       create or replace the objects in JSON files", "  delete KIND/NAME... delete objects",
+			"  list [KIND]         print the keys and versions of objects",
+			"  status [KIND/NAME]  print which versions are accepted, pending or rejected, with faults");
+
+	private static final int DEFAULT_TIMEOUT_MILLIS = 5000;
+
+	private static final ConfigurationCodec CODEC = new JsonConfigurationCodec();
+
+	private final PrintStream out;
+
+	private final PrintStream err;
+
+	private OperatorMain(PrintStream out, PrintStream err) {
+		this.out = out;
+		this.err = err;
+	}
+
+	/**
+	 * Runs a command. Exits with 0 if it succeeded, with 1 if the object API did not
+	 * answer or an object was edited by someone else, and with 2 if the arguments or the
+	 * objects are wrong.
+	 * @param arguments see the usage
+	 */
+	public static void main(String[] arguments) {
+		SLF4JBridgeHandler.removeHandlersForRootLogger();
+		SLF4JBridgeHandler.install();
+		System.exit(run(arguments, System.out, System.err));
+	}
+
+	/**
+	 * Runs a command.
+	 * @param arguments see the usage
+	 * @param out receives results, not null
+	 * @param err receives errors, not null
+	 * @return the exit code
+	 */
+	static int run(String[] arguments, PrintStream out, PrintStream err) {
+		OperatorMain operator = new OperatorMain(out, err);
+		try {
+			return operator.run(new DefaultParser().parse(
+					new Options().addOption(
+							Option.builder("p").longOpt("platform").hasArg().desc("address of the object API").get())
+						.addOption(Option.builder("t").longOpt("timeout-ms").hasArg().desc("bound on a call").get()),
+					arguments));
+		}
+		catch (ParseException | IllegalArgumentException ex) {
+			err.println(ex.getMessage());
+			err.println(USAGE);
+			return EXIT_USAGE;
+		}
+		catch (PeerException | IOException ex) {
+			err.println("failed: " + ex);
+			return EXIT_FAILURE;
+		}
+	}
+
+	private int run(CommandLine line) throws PeerException, IOException, ParseException {
+		List<String> words = line.getArgList();
+		if (words.isEmpty()) {
+			throw new ParseException("a command is required");
+		}
+		String command = words.get(0);
+		List<String> arguments = words.subList(1, words.size());
+		boolean onFiles = command.equals("validate") || command.equals("apply");
+		if (arguments.isEmpty() && (onFiles || command.equals("delete"))) {
+			throw new ParseException(command + " requires an argument");
+		}
+		List<OperatorObject> objects = new ArrayList<>();
+		if (onFiles && !readFiles(arguments, objects)) {
+			return EXIT_USAGE;
+		}
+		if (command.equals("validate") && !line.hasOption("platform")) {
+			return report(ConfigurationValidator.validate(Configuration.of(0, objects)));
+		}
+		if (!line.hasOption("platform")) {
+			throw new ParseException(command + " requires --platform");
+		}
+		checkArguments(command, arguments);
+		Address platform = Address.parse(line.getOptionValue("platform"));
+		Duration timeout = Duration.ofMillis(timeoutMillis(line));
+		try (HttpClient client = new HttpClient(1)) {
+			ObjectStore store = new HttpObjectStore(client, platform, timeout);
+			return switch (command) {
+				case "validate" -> report(OperatorWorkspace.open(store, CODEC).check(objects, Set.of()));
+				case "apply" -> apply(OperatorWorkspace.open(store, CODEC), objects);
+				case "delete" -> delete(OperatorWorkspace.open(store, CODEC), arguments);
+				case "list" -> list(OperatorWorkspace.open(store, CODEC), arguments);
+				case "status" -> status(OperatorWorkspace.open(store, CODEC).status(), arguments);
+				default -> throw new ParseException("unknown command '" + command + "'");
+			};
+		}
+	}
+
+	private static void checkArguments(String command, List<String> arguments) throws ParseException {
+		for (String argument : arguments) {
+			switch (command) {
+				case "list" -> requireKind(argument);
+				case "delete", "status" -> requireKey(argument);
+				default -> {
+				}
+			}
+		}
+	}
+
+	private static int timeoutMillis(CommandLine line) throws ParseException {
+		String text = line.getOptionValue("timeout-ms", Integer.toString(DEFAULT_TIMEOUT_MILLIS));
+		if (!text.matches("[1-9][0-9]{0,5}")) {
+			throw new ParseException("--timeout-ms is '" + text + "', allowed: a whole number from 1 to 999999");
+		}
+		return Integer.parseInt(text);
+	}
+
+	private boolean readFiles(List<String> files, List<OperatorObject> objects) {
+		Set<String> keys = new HashSet<>();
+		boolean complete = true;
+		for (String file : files) {
+			try {
+				for (OperatorObject object : ObjectCodec.decodeFile(file, Files.readAllBytes(Path.of(file)))) {
+					if (!keys.add(object.key())) {
+						this.err.println(file + ": " + object.key() + " is given more than once");
+						complete = false;
+					}
+					objects.add(object);
+				}
+			}
+			catch (IOException ex) {
+				this.err.println(file + ": cannot be read: " + ex);
+				complete = false;
+			}
+			catch (PeerException ex) {
+				this.err.println(file + ": " + ex.getMessage());
+				complete = false;
+			}
+		}
+		return complete;
+	}
+
+	private int report(List<Fault> faults) {
+		faults.forEach(this.err::println);
+		return faults.isEmpty() ? 0 : EXIT_USAGE;
+	}
+
+	private int apply(OperatorWorkspace workspace, List<OperatorObject> objects) throws PeerException {
+		int code = report(workspace.check(objects, Set.of()));
+		if (code != 0) {
+			return code;
+		}
+		for (OperatorObject object : objects) {
+			OptionalLong version = workspace.put(object);
+			if (version.isEmpty()) {
+				this.err
+					.println(object.key() + ": was edited by someone else at the same time; read it and apply again");
+				return EXIT_FAILURE;
+			}
+			this.out.println(object.key() + " version " + version.getAsLong());
+		}
+		return 0;
+	}
+
+	private int delete(OperatorWorkspace workspace, List<String> keys) throws PeerException {
+		int code = report(workspace.check(List.of(), Set.copyOf(keys)));
+		if (code != 0) {
+			return code;
+		}
+		for (String key : keys) {
+			if (!workspace.delete(key)) {
+				this.err.println(key + ": does not exist or was edited by someone else at the same time");
+				return EXIT_FAILURE;
+			}
+			this.out.println(key + " deleted");
+		}
+		return 0;
+	}
+
+	private int list(OperatorWorkspace workspace, List<String> kinds) {
+		for (OperatorEdit edit : workspace.objects()) {
+			if (kinds.isEmpty() || kinds.contains(edit.key().substring(0, edit.key().indexOf('/')))) {
+				this.out.println(edit.key() + " version " + edit.version());
+			}
+		}
+		return 0;
+	}
+
+	private int status(StatusReport report, List<String> keys) {
+		this.out.println("generation " + report.generation());
+		Set<String> missing = new HashSet<>(keys);
+		for (ObjectStatus status : report.objects()) {
+			if (keys.isEmpty() || missing.remove(status.key())) {
+				this.out.println(status.key() + " version " + status.version() + " " + status.state());
+				status.faults().forEach((fault) -> this.out.println("  " + fault));
+			}
+		}
+		missing.forEach((key) -> this.err.println(key + ": does not exist"));
+		return missing.isEmpty() ? 0 : EXIT_FAILURE;
+	}
+
+	private static void requireKey(String key) throws ParseException {
+		int slash = key.indexOf('/');
+		requireKind((slash > 0) ? key.substring(0, slash) : key);
+		if (slash < 0 || slash == key.length() - 1) {
+			throw new ParseException("'" + key + "' is not of the form KIND/NAME");
+		}
+	}
+
+	private static void requireKind(String kind) throws ParseException {
+		Objects.requireNonNull(kind, "kind");
+		if (ObjectKind.of(kind).isEmpty()) {
+			throw new ParseException("'" + kind + "' is not one of model, pipeline, team, upstream");
+		}
+	}
+
+}
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectHandler.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectHandler.java
@@ -6,12 +6,14 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 
+import org.mulberrycross.NotRunException;
 import org.mulberrycross.http.HttpMessages;
 import org.mulberrycross.http.Json;
 import org.mulberrycross.platform.ObjectPage;
@@ -26,20 +28,70 @@
 
 	private static final String PREFIX = "/objects/";
 
-	private static final int MAX_VALUE_BYTES = 1 << 20;
-
 	private final ObjectTable table;
 
+	private final FaultSwitches switches;
+
 	/**
 	 * Creates a handler.
 	 * @param table the objects to serve, not null
+	 * @param switches the faults to show, not null
 	 */
-	public ObjectHandler(ObjectTable table) {
+	public ObjectHandler(ObjectTable table, FaultSwitches switches) {
 		this.table = table;
+		this.switches = switches;
 	}
 
 	@Override
 	public void service(Request request, Response response) throws IOException {
+		this.switches.count(method(request));
+		delay();
+		if (this.switches.outage()) {
+			HttpMessages.reply(response, 503, Map.of("error", "outage"));
+			return;
+		}
+		try {
+			serve(request, response);
+		}
+		catch (NotRunException ex) {
+			HttpMessages.reply(response, 413, Map.of("error", ex.getMessage()));
+		}
+	}
+
+	private static String method(Request request) throws IOException {
+		String name = request.getMethod().getMethodString();
+		if (request.getDecodedRequestURI().startsWith(PREFIX)) {
+			return (name.equals("PUT") && request.getHeader("If-Match") == null) ? "CREATE" : name;
+		}
+		return (request.getParameter("watch") != null) ? "WATCH" : "LIST";
+	}
+
+	private void delay() {
+		try {
+			TimeUnit.NANOSECONDS.sleep(this.switches.delay().toNanos());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Answers a write, or closes the connection without an answer.
+	 * @param request the request of the write
+	 * @param response its response
+	 * @param status the status code
+	 * @param value the body
+	 * @throws IOException if the connection fails
+	 */
+	private void answerWrite(Request request, Response response, int status, Object value) throws IOException {
+		if (this.switches.losesAnswer()) {
+			request.getRequest().getConnection().closeSilently();
+			return;
+		}
+		HttpMessages.reply(response, status, value);
+	}
+
+	private void serve(Request request, Response response) throws IOException, NotRunException {
 		String path = request.getDecodedRequestURI();
 		if (!path.startsWith(PREFIX)) {
 			collection(request, response);
@@ -87,12 +139,16 @@
 		HttpMessages.reply(response, 200, object.get().value());
 	}
 
-	private void write(String key, Request request, Response response) throws IOException {
-		Optional<byte[]> body = HttpMessages.body(request, MAX_VALUE_BYTES);
+	private void write(String key, Request request, Response response) throws IOException, NotRunException {
+		Optional<byte[]> body = HttpMessages.body(request, ObjectTable.MAX_VALUE_BYTES);
 		if (body.isEmpty()) {
 			HttpMessages.reply(response, 413, Map.of("error", "value is longer than 1 MB"));
 			return;
 		}
+		if (!isJson(body.get())) {
+			HttpMessages.reply(response, 400, Map.of("error", "value is not JSON"));
+			return;
+		}
 		String expected = request.getHeader("If-Match");
 		OptionalLong version = (expected != null) ? this.table.replace(key, body.get(), version(expected))
 				: this.table.create(key, body.get());
@@ -101,18 +157,27 @@
 			return;
 		}
 		response.setHeader("ETag", "\"" + version.getAsLong() + "\"");
-		HttpMessages.reply(response, 200, Map.of("version", version.getAsLong()));
+		answerWrite(request, response, 200, Map.of("version", version.getAsLong()));
 	}
 
 	private void delete(String key, Request request, Response response) throws IOException {
 		boolean deleted = this.table.delete(key, version(request.getHeader("If-Match")));
-		HttpMessages.reply(response, deleted ? 200 : 412, Map.of("deleted", deleted));
+		answerWrite(request, response, deleted ? 200 : 412, Map.of("deleted", deleted));
 	}
 
 	private static long version(String tag) {
 		return Long.parseLong(tag.replace("\"", ""));
 	}
 
+	private static boolean isJson(byte[] value) {
+		try {
+			return !Json.mapper().readTree(value).isMissingNode();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	private static JsonNode value(StoredObject object) {
 		try {
 			return Json.mapper().readTree(object.value());
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectTable.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectTable.java
@@ -8,6 +8,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.mulberrycross.NotRunException;
+import org.mulberrycross.Peer;
+import org.mulberrycross.Step;
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
@@ -19,6 +22,9 @@
  */
 public final class ObjectTable implements ObjectStore {
 
+	/** Longest value, in bytes. */
+	static final int MAX_VALUE_BYTES = 1 << 20;
+
 	private static final int MAX_CHANGES = 100_000;
 
 	private final TreeMap<String, StoredObject> objects = new TreeMap<>();
@@ -49,7 +55,7 @@
 	}
 
 	@Override
-	public synchronized OptionalLong create(String key, byte[] value) {
+	public synchronized OptionalLong create(String key, byte[] value) throws NotRunException {
 		if (this.objects.containsKey(key)) {
 			return OptionalLong.empty();
 		}
@@ -57,7 +63,7 @@
 	}
 
 	@Override
-	public synchronized OptionalLong replace(String key, byte[] value, long expectedVersion) {
+	public synchronized OptionalLong replace(String key, byte[] value, long expectedVersion) throws NotRunException {
 		StoredObject current = this.objects.get(key);
 		if (current == null || current.version() != expectedVersion) {
 			return OptionalLong.empty();
@@ -102,7 +108,10 @@
 		}
 	}
 
-	private OptionalLong put(String key, byte[] value) {
+	private OptionalLong put(String key, byte[] value) throws NotRunException {
+		if (value.length > MAX_VALUE_BYTES) {
+			throw new NotRunException(Step.WRITE_OBJECT, new Peer(Peer.Kind.PLATFORM, ""), "value is longer than 1 MB");
+		}
 		this.revision++;
 		StoredObject object = new StoredObject(key, this.revision, value);
 		this.objects.put(key, object);
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/PlatformMain.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/PlatformMain.java
@@ -29,7 +29,9 @@
 		CommandLine line = CommandLines.parse(new Options().addOption(null, "port", true, "port on 127.0.0.1"),
 				arguments);
 		HttpListener listener = new HttpListener("127.0.0.1", CommandLines.number(line, "port", 0), WORKER_THREADS);
-		listener.route(new ObjectHandler(new ObjectTable()), "/objects", "/objects/*");
+		FaultSwitches switches = new FaultSwitches();
+		listener.route(new ObjectHandler(new ObjectTable(), switches), "/objects", "/objects/*");
+		listener.route(new FaultHandler(switches), "/faults", "/calls");
 		listener.start();
 		System.out.println("platform listens on " + listener.port());
 		listener.awaitClose();
--- /dev/null
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/ConfigurationFollowerTest.java
@@ -0,0 +1,120 @@
+package org.mulberrycross.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.junit.jupiter.api.Test;
+
+import org.mulberrycross.PeerException;
+import org.mulberrycross.operator.Configuration;
+import org.mulberrycross.operator.ModelObject;
+import org.mulberrycross.platform.http.JsonConfigurationCodec;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/**
+ * Guards the rule that a daemon applies generations only upwards and whole.
+ */
+class ConfigurationFollowerTest {
+
+	private static final ConfigurationCodec CODEC = new JsonConfigurationCodec();
+
+	private final List<Configuration> applied = new ArrayList<>();
+
+	private final ConfigurationFollower follower = new ConfigurationFollower(CODEC, this.applied::add);
+
+	private static ConfigurationSnapshot snapshot(ConfigurationSnapshot previous, long version, String token,
+			String... models) {
+		TreeMap<String, AcceptedObject> objects = new TreeMap<>();
+		for (String name : models) {
+			objects.put("model/" + name,
+					new AcceptedObject(version, new ModelObject(name, 1, List.of("v1"), List.of())));
+		}
+		return previous.successor(new AcceptedSet(previous.head().generation() + 1, version, objects), CODEC, token);
+	}
+
+	private static SnapshotSource source(ConfigurationSnapshot head, ConfigurationSnapshot chunks) {
+		return new SnapshotSource() {
+
+			@Override
+			public Optional<byte[]> head() {
+				return head.headBytes();
+			}
+
+			@Override
+			public Optional<byte[]> chunk(String digest) {
+				return Optional.ofNullable(chunks.chunks().get(digest));
+			}
+
+		};
+	}
+
+	/** Fails if an older generation replaces a newer one. */
+	@Test
+	void appliesOnlyUpwards() throws PeerException {
+		ConfigurationSnapshot first = snapshot(ConfigurationSnapshot.empty(), 1, "a", "m");
+		ConfigurationSnapshot second = snapshot(first, 2, "b", "m", "n");
+		assertThat(this.follower.follow(source(second, second))).isTrue();
+		assertThat(this.follower.follow(source(first, first))).isFalse();
+		assertThat(this.follower.follow(source(second, second))).isFalse();
+		assertThat(this.applied.stream().map(Configuration::generation).toList()).containsExactly(2L);
+	}
+
+	/** Fails if a generation with a missing chunk is applied in part. */
+	@Test
+	void appliesNothingIfAChunkIsMissing() throws PeerException {
+		ConfigurationSnapshot first = snapshot(ConfigurationSnapshot.empty(), 1, "a", "m");
+		ConfigurationSnapshot second = snapshot(first, 2, "b", "m", "n", "o");
+		this.follower.follow(source(first, first));
+		assertThrows(PeerException.class, () -> this.follower.follow(source(second, first)));
+		assertThat(this.follower.generation()).isEqualTo(1);
+		assertThat(this.follower.follow(source(second, second))).isTrue();
+	}
+
+	/** Fails if bytes that do not match their digest are applied. */
+	@Test
+	void verifiesDigests() {
+		ConfigurationSnapshot first = snapshot(ConfigurationSnapshot.empty(), 1, "a", "m");
+		byte[] other = snapshot(ConfigurationSnapshot.empty(), 1, "b", "m").chunks().values().iterator().next();
+		SnapshotSource source = new SnapshotSource() {
+
+			@Override
+			public Optional<byte[]> head() {
+				return first.headBytes();
+			}
+
+			@Override
+			public Optional<byte[]> chunk(String digest) {
+				return Optional.of(other);
+			}
+
+		};
+		assertThrows(PeerException.class, () -> this.follower.follow(source));
+		assertThat(this.applied).isEmpty();
+	}
+
+	/** Fails if a daemon takes a generation that reverts an object. */
+	@Test
+	void refusesToRevertAnObject() throws PeerException {
+		ConfigurationSnapshot first = snapshot(ConfigurationSnapshot.empty(), 5, "a", "m");
+		ConfigurationSnapshot older = snapshot(snapshot(ConfigurationSnapshot.empty(), 1, "b", "n"), 4, "c", "m");
+		this.follower.follow(source(first, first));
+		assertThrows(IllegalStateException.class, () -> this.follower.follow(source(older, older)));
+		assertThat(this.follower.generation()).isEqualTo(1);
+	}
+
+	/** Fails if a daemon cannot serve what it has to a sibling that has nothing. */
+	@Test
+	void servesSiblings() throws PeerException {
+		ConfigurationSnapshot first = snapshot(ConfigurationSnapshot.empty(), 1, "a", "m", "n");
+		this.follower.follow(source(first, first));
+		ConfigurationFollower sibling = new ConfigurationFollower(CODEC, (configuration) -> {
+		});
+		assertThat(sibling.follow(this.follower)).isTrue();
+		assertThat(sibling.accepted()).isEqualTo(first.accepted());
+	}
+
+}
--- /dev/null
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/ConfigurationPublisherTest.java
@@ -0,0 +1,355 @@
+package org.mulberrycross.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mulberrycross.PeerException;
+import org.mulberrycross.operator.ConfigurationValidator;
+import org.mulberrycross.operator.ModelObject;
+import org.mulberrycross.operator.ObjectStatus;
+import org.mulberrycross.operator.OperatorObject;
+import org.mulberrycross.operator.PipelineObject;
+import org.mulberrycross.operator.TeamObject;
+import org.mulberrycross.platform.http.JsonConfigurationCodec;
+import org.mulberrycross.standins.platform.ObjectTable;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Guards promise P7: what is accepted is valid, is in force everywhere and never reverts.
+ */
+class ConfigurationPublisherTest {
+
+	private static final ConfigurationCodec CODEC = new JsonConfigurationCodec();
+
+	/** Steps of each of the 20 seeds, which are 10,000 steps in all. */
+	private static final int STEPS = 500;
+
+	private static final int PUBLISHERS = 3;
+
+	private static final int FOLLOWERS = 3;
+
+	private final ObjectTable table = new ObjectTable();
+
+	private final AtomicLong now = new AtomicLong();
+
+	private final AtomicLong tokens = new AtomicLong();
+
+	private ConfigurationPublisher publisher(ObjectStore store, String name) {
+		return new ConfigurationPublisher(store, CODEC, name, this.now::get,
+				() -> name + "-" + this.tokens.incrementAndGet(), () -> true);
+	}
+
+	private static ModelObject model(String name) {
+		return new ModelObject(name, 4, List.of("v1"), List.of());
+	}
+
+	private static PipelineObject pipeline(String name, String model) {
+		return new PipelineObject(name, model, "v1", "", 10, 10);
+	}
+
+	private static TeamObject team(String name, int keyNumber, String... pipelines) {
+		return new TeamObject(name, String.format("%064x", keyNumber), 1, 1, List.of(pipelines));
+	}
+
+	private void put(OperatorObject object) throws PeerException {
+		OperatorWorkspace.open(this.table, CODEC).put(object);
+	}
+
+	private ConfigurationSnapshot head() throws PeerException {
+		Optional<StoredObject> head = this.table.read(ConfigurationHead.KEY);
+		return head.isEmpty() ? ConfigurationSnapshot.empty() : ConfigurationSnapshot.read(head.get().value(), CODEC,
+				ConfigurationSnapshot.empty(), SnapshotSource.of(this.table));
+	}
+
+	private ObjectStatus status(String key) throws PeerException {
+		return OperatorWorkspace.open(this.table, CODEC)
+			.status()
+			.objects()
+			.stream()
+			.filter((status) -> status.key().equals(key))
+			.findFirst()
+			.orElseThrow();
+	}
+
+	/** Fails if two edits that are valid alone but not together are both accepted. */
+	@Test
+	void racingEditsNeverEndInAnInvalidWhole() throws Exception {
+		ExecutorService threads = Executors.newFixedThreadPool(4);
+		List<ConfigurationPublisher> publishers = List.of(publisher(this.table, "a"), publisher(this.table, "b"));
+		try {
+			put(model("m"));
+			for (int pair = 0; pair < 200; pair++) {
+				String name = "p" + pair;
+				put(pipeline(name, "m"));
+				for (ConfigurationPublisher publisher : publishers) {
+					refreshAndPublish(publisher);
+				}
+				int key = pair;
+				boolean sameKey = pair % 2 == 0;
+				threads.invokeAll(List.of(Executors.callable(() -> edit(() -> team("t" + key, key, name))),
+						Executors.callable(() -> {
+							if (sameKey) {
+								edit(() -> team("u" + key, key));
+							}
+							else {
+								delete("pipeline/" + name);
+							}
+						}), Executors.callable(() -> refreshAndPublish(publishers.get(0))),
+						Executors.callable(() -> refreshAndPublish(publishers.get(1)))));
+				refreshAndPublish(publishers.get(0));
+				refreshAndPublish(publishers.get(1));
+				refreshAndPublish(publishers.get(0));
+				AcceptedSet accepted = head().accepted();
+				assertWithMessage("pair %s", pair).that(ConfigurationValidator.validate(accepted.configuration()))
+					.isEmpty();
+				boolean one = accepted.objects().containsKey("team/t" + key);
+				boolean other = sameKey ? accepted.objects().containsKey("team/u" + key)
+						: !accepted.objects().containsKey("pipeline/" + name);
+				assertWithMessage("pair %s: exactly one edit is accepted", pair).that(one).isNotEqualTo(other);
+			}
+		}
+		finally {
+			threads.shutdownNow();
+			threads.awaitTermination(10, TimeUnit.SECONDS);
+		}
+	}
+
+	private void edit(Supplier<OperatorObject> object) {
+		try {
+			put(object.get());
+		}
+		catch (PeerException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private void delete(String key) {
+		try {
+			OperatorWorkspace.open(this.table, CODEC).delete(key);
+		}
+		catch (PeerException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static void refreshAndPublish(ConfigurationPublisher publisher) {
+		try {
+			publisher.publishWithoutLease(Duration.ZERO);
+		}
+		catch (PeerException ex) {
+			// Another publisher was faster; the next call goes on from its head.
+		}
+	}
+
+	/** Fails if an invalid edit has no status, or a repaired one keeps its faults. */
+	@Test
+	void statusFollowsEdits() throws PeerException {
+		ConfigurationPublisher publisher = publisher(this.table, "a");
+		put(pipeline("p", "m"));
+		assertThat(status("pipeline/p").state()).isEqualTo(ObjectStatus.State.PENDING);
+		publisher.step(Duration.ZERO);
+		assertThat(status("pipeline/p").state()).isEqualTo(ObjectStatus.State.REJECTED);
+		assertThat(status("pipeline/p").faults().get(0).field()).isEqualTo("model");
+		put(model("m"));
+		publisher.step(Duration.ZERO);
+		assertThat(status("pipeline/p").state()).isEqualTo(ObjectStatus.State.ACCEPTED);
+		assertThat(this.table.list(Set.of("status"), "", 10).objects()).isEmpty();
+	}
+
+	/** Fails if a publisher that was paused past its lease reverts a later generation. */
+	@Test
+	void pausedHolderDoesNotRevert() throws PeerException {
+		ConfigurationPublisher paused = publisher(this.table, "a");
+		put(model("m"));
+		assertThat(paused.step(Duration.ZERO)).isTrue();
+		this.table.delete("model/m", this.table.read("model/m").orElseThrow().version());
+		ConfigurationPublisher other = publisher(this.table, "b");
+		other.step(Duration.ZERO);
+		this.now.addAndGet(PublisherLease.TERM.multipliedBy(2).toNanos());
+		assertThat(other.step(Duration.ZERO)).isTrue();
+		assertThat(paused.publish()).isFalse();
+		put(model("n"));
+		other.step(Duration.ZERO);
+		assertThat(paused.publish()).isFalse();
+		assertThat(head().accepted().objects().keySet()).containsExactly("model/n");
+	}
+
+	/** Fails if chunks that no generation needs any more stay in the object API. */
+	@Test
+	void removesOldChunks() throws PeerException {
+		ConfigurationPublisher publisher = publisher(this.table, "a");
+		for (int i = 0; i < 20; i++) {
+			put(new ModelObject("m", 1 + i, List.of("v1"), List.of()));
+			publisher.step(Duration.ZERO);
+		}
+		assertThat(this.table.list(Set.of("chunk"), "", 10).objects().size()).isAtMost(2);
+		this.table.create("chunk/left", CODEC.encode(new ConfigurationChunk(7, "x", List.of())));
+		this.table.create("chunk/next", CODEC.encode(new ConfigurationChunk(21, "x", List.of())));
+		publisher.release();
+		publisher(this.table, "b").step(Duration.ZERO);
+		assertThat(this.table.read("chunk/left").isPresent()).isFalse();
+		assertThat(this.table.read("chunk/next").isPresent()).isTrue();
+	}
+
+	/**
+	 * Fails if failures, lost answers, pauses and several publishers at once break an
+	 * invariant or keep the daemons from reaching the same valid configuration.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20 })
+	void randomisedRunKeepsInvariants(long seed) throws PeerException {
+		RandomisedRun run = new RandomisedRun(seed);
+		for (int step = 0; step < STEPS; step++) {
+			run.step();
+		}
+		run.settle();
+	}
+
+	/**
+	 * Several publishers and followers on one thread. A step of one may be interrupted at
+	 * any call to the store by steps of others, and an interruption may let leases
+	 * expire.
+	 */
+	private final class RandomisedRun {
+
+		private final RandomGenerator random;
+
+		private final FaultyStore store;
+
+		private final List<ConfigurationPublisher> publishers = new ArrayList<>();
+
+		private final List<ConfigurationFollower> followers = new ArrayList<>();
+
+		private final List<HeadWatch> watches = new ArrayList<>();
+
+		private final boolean[] busy = new boolean[PUBLISHERS + FOLLOWERS];
+
+		private final long[] generations = new long[FOLLOWERS];
+
+		RandomisedRun(long seed) {
+			this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+			this.store = new FaultyStore(ConfigurationPublisherTest.this.table, this.random, this::interrupt);
+			for (int i = 0; i < PUBLISHERS; i++) {
+				this.publishers.add(publisher(this.store, "p" + i));
+			}
+			for (int i = 0; i < FOLLOWERS; i++) {
+				int index = i;
+				ConfigurationFollower follower = new ConfigurationFollower(CODEC, (configuration) -> {
+					assertThat(configuration.generation()).isGreaterThan(this.generations[index]);
+					assertThat(ConfigurationValidator.validate(configuration)).isEmpty();
+					this.generations[index] = configuration.generation();
+				});
+				this.followers.add(follower);
+				this.watches.add(new HeadWatch(this.store, follower));
+			}
+		}
+
+		void step() throws PeerException {
+			ConfigurationPublisherTest.this.now.addAndGet(this.random.nextLong(200_000_000));
+			if (this.random.nextInt(4) == 0) {
+				operate();
+			}
+			act(this.random.nextInt(this.busy.length));
+		}
+
+		private void interrupt() {
+			if (this.random.nextInt(4) == 0) {
+				ConfigurationPublisherTest.this.now.addAndGet(PublisherLease.TERM.multipliedBy(2).toNanos());
+			}
+			try {
+				for (int i = this.random.nextInt(4); i > 0; i--) {
+					step();
+				}
+			}
+			catch (PeerException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+
+		private void act(int actor) {
+			if (this.busy[actor]) {
+				return;
+			}
+			this.busy[actor] = true;
+			try {
+				if (actor >= PUBLISHERS) {
+					this.watches.get(actor - PUBLISHERS).step(Duration.ZERO);
+				}
+				else if (this.random.nextInt(10) == 0) {
+					this.publishers.get(actor).publishWithoutLease(Duration.ZERO);
+				}
+				else {
+					this.publishers.get(actor).step(Duration.ZERO);
+				}
+			}
+			catch (PeerException ex) {
+				// The next step of the actor goes on from what the store has.
+			}
+			finally {
+				this.busy[actor] = false;
+			}
+		}
+
+		private void operate() throws PeerException {
+			int number = this.random.nextInt(4);
+			OperatorObject object = switch (this.random.nextInt(3)) {
+				case 0 -> model("m" + number);
+				case 1 -> pipeline("p" + number, "m" + this.random.nextInt(5));
+				default -> team("t" + number, this.random.nextInt(4), "p" + this.random.nextInt(5));
+			};
+			ObjectTable objects = ConfigurationPublisherTest.this.table;
+			Optional<StoredObject> stored = objects.read(object.key());
+			if (stored.isEmpty()) {
+				objects.create(object.key(), CODEC.encodeObject(object));
+			}
+			else if (this.random.nextInt(3) == 0) {
+				objects.delete(object.key(), stored.get().version());
+			}
+			else {
+				byte[] value = CODEC.encodeObject(object);
+				objects.replace(object.key(), (this.random.nextInt(20) == 0) ? Arrays.copyOf(value, 3) : value,
+						stored.get().version());
+			}
+		}
+
+		void settle() throws PeerException {
+			this.store.endFaults();
+			for (int round = 0; round < 4; round++) {
+				ConfigurationPublisherTest.this.now.addAndGet(PublisherLease.TERM.multipliedBy(2).toNanos());
+				for (int actor = 0; actor < this.busy.length; actor++) {
+					act(actor);
+					act(actor);
+				}
+			}
+			ConfigurationSnapshot head = head();
+			assertThat(head.head().generation()).isGreaterThan(10);
+			for (ConfigurationFollower follower : this.followers) {
+				assertThat(follower.accepted()).isEqualTo(head.accepted());
+			}
+			for (ObjectStatus status : OperatorWorkspace.open(ConfigurationPublisherTest.this.table, CODEC)
+				.status()
+				.objects()) {
+				assertThat(status.state()).isNotEqualTo(ObjectStatus.State.PENDING);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/FaultyStore.java
@@ -0,0 +1,110 @@
+package org.mulberrycross.platform;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.mulberrycross.NotRunException;
+import org.mulberrycross.OutcomeUnknownException;
+import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.Step;
+
+/**
+ * Object store that fails, loses answers and lets other work run in the middle of its
+ * caller's work, at random. Used on one thread.
+ */
+final class FaultyStore implements ObjectStore {
+
+	private static final Peer PEER = new Peer(Peer.Kind.PLATFORM, "");
+
+	private final ObjectStore store;
+
+	private final RandomGenerator random;
+
+	private final Runnable interruption;
+
+	private boolean faults = true;
+
+	FaultyStore(ObjectStore store, RandomGenerator random, Runnable interruption) {
+		this.store = store;
+		this.random = random;
+		this.interruption = interruption;
+	}
+
+	void endFaults() {
+		this.faults = false;
+	}
+
+	private void before() throws PeerException {
+		if (!this.faults) {
+			return;
+		}
+		if (this.random.nextInt(40) == 0) {
+			this.interruption.run();
+		}
+		if (this.random.nextInt(50) == 0) {
+			throw new NotRunException(Step.READ_OBJECT, PEER, "store is down");
+		}
+	}
+
+	private <T> T write(Write<T> write) throws PeerException {
+		before();
+		int fault = this.faults ? this.random.nextInt(40) : -1;
+		if (fault == 0) {
+			throw new OutcomeUnknownException(Step.WRITE_OBJECT, PEER, "request was lost", null);
+		}
+		T result = write.run();
+		if (fault == 1) {
+			throw new OutcomeUnknownException(Step.WRITE_OBJECT, PEER, "answer was lost", null);
+		}
+		return result;
+	}
+
+	@Override
+	public Optional<StoredObject> read(String key) throws PeerException {
+		before();
+		return this.store.read(key);
+	}
+
+	@Override
+	public ObjectPage list(Set<String> kinds, String after, int limit) throws PeerException {
+		before();
+		return this.store.list(kinds, after, Math.min(limit, 5));
+	}
+
+	@Override
+	public OptionalLong create(String key, byte[] value) throws PeerException {
+		return write(() -> this.store.create(key, value));
+	}
+
+	@Override
+	public OptionalLong replace(String key, byte[] value, long expectedVersion) throws PeerException {
+		return write(() -> this.store.replace(key, value, expectedVersion));
+	}
+
+	@Override
+	public boolean delete(String key, long expectedVersion) throws PeerException {
+		return write(() -> this.store.delete(key, expectedVersion));
+	}
+
+	@Override
+	public WatchResult watch(Set<String> kinds, long afterRevision, Duration timeout) throws PeerException {
+		before();
+		if (this.faults && this.random.nextInt(100) == 0) {
+			return new WatchResult(afterRevision, List.of(), true);
+		}
+		return this.store.watch(kinds, afterRevision, Duration.ZERO);
+	}
+
+	@FunctionalInterface
+	private interface Write<T> {
+
+		T run() throws PeerException;
+
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/Rejection.java
@@ -0,0 +1,27 @@
+package org.mulberrycross.platform;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.mulberrycross.operator.Fault;
+
+/**
+ * An edit that cannot be accepted at present. Immutable and thread-safe.
+ *
+ * @param edit the edit
+ * @param faults the faults that the accepted set would have with the edit, not empty; for
+ * a deletion they are on the objects that still refer to the deleted one
+ */
+public record Rejection(OperatorEdit edit, List<Fault> faults) {
+
+	/**
+	 * Creates a rejection.
+	 * @param edit the edit, not null
+	 * @param faults the faults, not null
+	 */
+	public Rejection {
+		Objects.requireNonNull(edit, "edit");
+		faults = List.copyOf(faults);
+	}
+
+}
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/http/HttpObjectStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/http/HttpObjectStore.java
@@ -140,7 +140,10 @@
 	}
 
 	private static Optional<StoredObject> object(ObjectMessages.Item item) {
-		return item.value().map((value) -> new StoredObject(item.key(), item.version(), Json.encode(value)));
+		// Jackson gives a JSON null for an absent tree, which marks a deletion.
+		return item.value()
+			.filter((value) -> !value.isNull())
+			.map((value) -> new StoredObject(item.key(), item.version(), Json.encode(value)));
 	}
 
 	private static ObjectChange change(ObjectMessages.Item item) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -1,10 +1,9 @@
 package org.mulberrycross.router;
 
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -18,7 +17,6 @@
 
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
-import org.mulberrycross.PeerException;
 import org.mulberrycross.caller.Admission;
 import org.mulberrycross.caller.WordTokenizer;
 import org.mulberrycross.caller.http.ChatHandler;
@@ -27,14 +25,12 @@
 import org.mulberrycross.engine.http.HttpStageClient;
 import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.http.HttpListener;
-import org.mulberrycross.operator.Configuration;
-import org.mulberrycross.operator.ObjectKind;
-import org.mulberrycross.operator.OperatorObject;
-import org.mulberrycross.operator.json.ObjectCodec;
-import org.mulberrycross.platform.ObjectPage;
+import org.mulberrycross.platform.ConfigurationFollower;
+import org.mulberrycross.platform.ConfigurationPublisher;
+import org.mulberrycross.platform.HeadWatch;
 import org.mulberrycross.platform.ObjectStore;
-import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.http.HttpObjectStore;
+import org.mulberrycross.platform.http.JsonConfigurationCodec;
 
 /**
  * A running router daemon. Thread-safe.
@@ -51,10 +47,6 @@
 
 	private static final Duration TICK = Duration.ofMillis(100);
 
-	private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(30);
-
-	private static final int PAGE_SIZE = 500;
-
 	private final RouterSettings settings;
 
 	private final MetricRegistry metrics = new MetricRegistry();
@@ -69,9 +61,9 @@
 
 	private final RouterControl control;
 
-	private final Thread follower;
+	private final ConfigurationFollower follower;
 
-	private volatile boolean closed;
+	private final ConfigurationThreads configuration;
 
 	/**
 	 * Creates a daemon that does not listen yet.
@@ -94,8 +86,13 @@
 		this.listener.route(new HealthHandler(this.control::snapshot), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
-		this.follower = new Thread(this::follow, "configuration");
-		this.follower.setDaemon(true);
+		ObjectStore store = new HttpObjectStore(this.client, settings.platform(), settings.platformTimeout());
+		JsonConfigurationCodec codec = new JsonConfigurationCodec();
+		this.follower = new ConfigurationFollower(codec, this.control::apply);
+		this.configuration = new ConfigurationThreads(
+				this.follower, new HeadWatch(store, this.follower), new ConfigurationPublisher(store, codec,
+						settings.name(), clock, () -> UUID.randomUUID().toString(), () -> true),
+				List::of, new SecureRandom());
 	}
 
 	private static ExecutorService trafficThreads(int count) {
@@ -112,7 +109,7 @@
 	public void start() throws IOException {
 		this.controlThread.every(TICK, this.control::tick);
 		this.listener.start();
-		this.follower.start();
+		this.configuration.start();
 		logger.info("daemon {} listens on {}", this.settings.name(), this.settings.listen());
 	}
 
@@ -124,50 +121,18 @@
 		this.listener.awaitClose();
 	}
 
-	private void follow() {
-		ObjectStore store = new HttpObjectStore(this.client, this.settings.platform(), this.settings.platformTimeout());
-		Set<String> kinds = Set.of("model", "pipeline", "team", "upstream");
-		while (!this.closed) {
-			try {
-				long revision = readAll(store, kinds);
-				store.watch(kinds, revision, WATCH_TIMEOUT);
-			}
-			catch (PeerException ex) {
-				logger.warn("configuration cannot be read: {}", ex.toString());
-				pause();
-			}
-		}
-	}
-
-	private long readAll(ObjectStore store, Set<String> kinds) throws PeerException {
-		List<OperatorObject> objects = new ArrayList<>();
-		String after = "";
-		ObjectPage page;
-		do {
-			page = store.list(kinds, after, PAGE_SIZE);
-			for (StoredObject stored : page.objects()) {
-				objects.add(ObjectCodec.decode(ObjectKind.of(stored.kind()).orElseThrow(), stored.value()));
-				after = stored.key();
-			}
-		}
-		while (page.more());
-		this.control.apply(Configuration.of(page.revision(), objects));
-		return page.revision();
-	}
-
-	private static void pause() {
-		try {
-			TimeUnit.SECONDS.sleep(1);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
+	/**
+	 * Returns the configuration as this daemon can serve it to siblings. A sibling's
+	 * newer head is applied by {@link ConfigurationFollower#follow}, which blocks.
+	 * @return the follower, not null
+	 */
+	public ConfigurationFollower configuration() {
+		return this.follower;
 	}
 
 	@Override
 	public void close() {
-		this.closed = true;
-		this.follower.interrupt();
+		this.configuration.close();
 		this.listener.close();
 		this.traffic.shutdownNow();
 		this.controlThread.close();
