--- a/mulberrycross-standins/src/test/java/org/mulberrycross/platform/ConfigurationPublisherTest.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/ConfigurationPublisherTest.java
@@ -123,6 +123,16 @@
 				boolean other = sameKey ? accepted.objects().containsKey("team/u" + key)
 						: !accepted.objects().containsKey("pipeline/" + name);
 				assertWithMessage("pair %s: exactly one edit is accepted", pair).that(one).isNotEqualTo(other);
+				// Rejected edits are withdrawn, so that each pair meets a valid whole.
+				if (!one) {
+					delete("team/t" + key);
+				}
+				else if (sameKey) {
+					delete("team/u" + key);
+				}
+				else {
+					put(pipeline(name, "m"));
+				}
 			}
 		}
 		finally {
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/Acceptance.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/Acceptance.java
@@ -56,13 +56,14 @@
 		List<OperatorEdit> left = pending.stream()
 			.filter((edit) -> !(edit instanceof OperatorEdit.Unreadable))
 			.toList();
+		List<Rejection> refused = new ArrayList<>();
 		AcceptedSet current = target;
 		int before;
 		do {
 			before = left.size();
-			List<OperatorEdit> refused = new ArrayList<>();
+			refused.clear();
 			current = tryTogether(current, left, known, refused);
-			left = refused;
+			left = refused.stream().map(Rejection::edit).toList();
 		}
 		while (!left.isEmpty() && left.size() < before);
 		List<Rejection> rejections = new ArrayList<>();
@@ -71,9 +72,8 @@
 				rejections.add(new Rejection(edit, List.of(unreadable.fault())));
 			}
 		}
-		for (OperatorEdit edit : left) {
-			rejections.add(new Rejection(edit, newFaults(with(current, List.of(edit)), known)));
-		}
+		// The last round accepted nothing, so its faults are those against the final set.
+		rejections.addAll(refused);
 		boolean changed = !current.objects().equals(accepted.objects());
 		return new Acceptance(changed ? current : accepted, rejections);
 	}
@@ -100,16 +100,17 @@
 	}
 
 	private static AcceptedSet tryTogether(AcceptedSet base, List<OperatorEdit> edits, Set<Fault> known,
-			List<OperatorEdit> refused) {
+			List<Rejection> refused) {
 		if (edits.isEmpty()) {
 			return base;
 		}
 		AcceptedSet candidate = with(base, edits);
-		if (newFaults(candidate, known).isEmpty()) {
+		List<Fault> faults = newFaults(candidate, known);
+		if (faults.isEmpty()) {
 			return candidate;
 		}
 		if (edits.size() == 1) {
-			refused.add(edits.get(0));
+			refused.add(new Rejection(edits.get(0), faults));
 			return base;
 		}
 		int middle = edits.size() / 2;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -25,6 +25,7 @@
 import org.mulberrycross.engine.http.HttpStageClient;
 import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.http.HttpListener;
+import org.mulberrycross.operator.http.BurnHandler;
 import org.mulberrycross.platform.ConfigurationFollower;
 import org.mulberrycross.platform.ConfigurationPublisher;
 import org.mulberrycross.platform.HeadWatch;
@@ -47,6 +48,12 @@
 
 	private static final Duration TICK = Duration.ofMillis(100);
 
+	/**
+	 * Longest wait for answers at a shutdown. Longer than any answer takes, so that it
+	 * only ends a process whose answers can no longer end.
+	 */
+	private static final Duration DRAIN_TIMEOUT = Duration.ofHours(1);
+
 	private final RouterSettings settings;
 
 	private final MetricRegistry metrics = new MetricRegistry();
@@ -86,6 +93,7 @@
 		this.listener.route(new HealthHandler(this.control::snapshot), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
+		this.listener.route(new BurnHandler(() -> this.control.burnReport().join()), BurnHandler.PATH);
 		ObjectStore store = new HttpObjectStore(this.client, settings.platform(), settings.platformTimeout());
 		JsonConfigurationCodec codec = new JsonConfigurationCodec();
 		this.follower = new ConfigurationFollower(codec, this.control::apply);
@@ -113,6 +121,23 @@
 		logger.info("daemon {} listens on {}", this.settings.name(), this.settings.listen());
 	}
 
+	/**
+	 * Stops the daemon without cutting off a request: reports that it is not ready, goes
+	 * on accepting for the grace period, and returns when the last answer has ended.
+	 */
+	public void shutDown() {
+		logger.info("daemon {} drains", this.settings.name());
+		this.control.drain();
+		try {
+			boolean complete = this.listener.drain(this.settings.shutdownGrace(), DRAIN_TIMEOUT);
+			logger.info("daemon {} stops, all requests ended: {}", this.settings.name(), complete);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		close();
+	}
+
 	/**
 	 * Waits until this daemon is closed.
 	 * @throws InterruptedException if the thread is interrupted while it waits
