--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/FaultHandler.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/FaultHandler.java
@@ -33,7 +33,7 @@
 
 	@Override
 	public void service(Request request, Response response) throws IOException {
-		if (request.getDecodedRequestURI().equals("/calls")) {
+		if (request.getMethod().getMethodString().equals("GET")) {
 			HttpMessages.reply(response, 200, this.switches.calls());
 			return;
 		}
