--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -20,6 +20,7 @@
 import org.mulberrycross.caller.Admission;
 import org.mulberrycross.caller.WordTokenizer;
 import org.mulberrycross.caller.http.ChatHandler;
+import org.mulberrycross.caller.http.ServiceHandler;
 import org.mulberrycross.engine.RoutePolicies;
 import org.mulberrycross.engine.StepwiseRouteRunner;
 import org.mulberrycross.engine.http.HttpStageClient;
@@ -68,6 +69,8 @@
 
 	private final RouterControl control;
 
+	private final ServiceRuntime services;
+
 	private final ConfigurationFollower follower;
 
 	private final ConfigurationThreads configuration;
@@ -90,6 +93,8 @@
 		this.listener.route(new ChatHandler(() -> this.control.snapshot().configuration(), this.control,
 				new WordTokenizer(), () -> UUID.randomUUID().toString(), clock,
 				new ChatHandler.ChatLimits(settings.maxBodyBytes(), settings.maxWait())), ChatHandler.PATH);
+		this.services = new ServiceRuntime(() -> this.control.snapshot().configuration(), this.client, settings);
+		this.listener.route(this.services.handler(), ServiceHandler.PATHS);
 		this.listener.route(new HealthHandler(this.control::snapshot), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
@@ -118,6 +123,7 @@
 		this.controlThread.every(TICK, this.control::tick);
 		this.listener.start();
 		this.configuration.start();
+		this.services.start();
 		logger.info("daemon {} listens on {}", this.settings.name(), this.settings.listen());
 	}
 
@@ -160,6 +166,7 @@
 		this.configuration.close();
 		this.listener.close();
 		this.traffic.shutdownNow();
+		this.services.close();
 		this.controlThread.close();
 		this.client.close();
 	}
