--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/service/CountedTable.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/service/CountedTable.java
@@ -67,15 +67,25 @@
 	}
 
 	@Override
-	public OptionalLong create(String key, byte[] value) throws NotRunException {
+	public OptionalLong create(String key, byte[] value) {
 		travel();
-		return written(this.table.create(key, value), value.length);
+		try {
+			return written(this.table.create(key, value), value.length);
+		}
+		catch (NotRunException ex) {
+			throw new IllegalStateException("a record of this run is above the limit of the object API", ex);
+		}
 	}
 
 	@Override
-	public OptionalLong replace(String key, byte[] value, long expectedVersion) throws NotRunException {
+	public OptionalLong replace(String key, byte[] value, long expectedVersion) {
 		travel();
-		return written(this.table.replace(key, value, expectedVersion), value.length);
+		try {
+			return written(this.table.replace(key, value, expectedVersion), value.length);
+		}
+		catch (NotRunException ex) {
+			throw new IllegalStateException("a record of this run is above the limit of the object API", ex);
+		}
 	}
 
 	@Override
