--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/service/CountedTable.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/service/CountedTable.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 
+import org.mulberrycross.NotRunException;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
 import org.mulberrycross.platform.StoredObject;
@@ -68,13 +69,23 @@
 	@Override
 	public OptionalLong create(String key, byte[] value) {
 		travel();
-		return written(this.table.create(key, value), value.length);
+		try {
+			return written(this.table.create(key, value), value.length);
+		}
+		catch (NotRunException ex) {
+			throw new IllegalStateException("a record of this run is above the limit of the object API", ex);
+		}
 	}
 
 	@Override
 	public OptionalLong replace(String key, byte[] value, long expectedVersion) {
 		travel();
-		return written(this.table.replace(key, value, expectedVersion), value.length);
+		try {
+			return written(this.table.replace(key, value, expectedVersion), value.length);
+		}
+		catch (NotRunException ex) {
+			throw new IllegalStateException("a record of this run is above the limit of the object API", ex);
+		}
 	}
 
 	@Override
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -1,11 +1,10 @@
 package org.mulberrycross.router;
 
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -19,7 +18,6 @@
 
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
-import org.mulberrycross.PeerException;
 import org.mulberrycross.caller.Admission;
 import org.mulberrycross.caller.AdmissionInputs;
 import org.mulberrycross.caller.AdmissionSettings;
@@ -41,16 +39,15 @@
 import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.http.HttpListener;
 import org.mulberrycross.operator.Configuration;
-import org.mulberrycross.operator.ObjectKind;
-import org.mulberrycross.operator.OperatorObject;
 import org.mulberrycross.operator.PipelineObject;
 import org.mulberrycross.operator.TeamObject;
 import org.mulberrycross.operator.http.BurnHandler;
-import org.mulberrycross.operator.json.ObjectCodec;
-import org.mulberrycross.platform.ObjectPage;
+import org.mulberrycross.platform.ConfigurationFollower;
+import org.mulberrycross.platform.ConfigurationPublisher;
+import org.mulberrycross.platform.HeadWatch;
 import org.mulberrycross.platform.ObjectStore;
-import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.http.HttpObjectStore;
+import org.mulberrycross.platform.http.JsonConfigurationCodec;
 
 /**
  * A running router daemon. Thread-safe.
@@ -74,16 +71,12 @@
 
 	private static final Duration TICK = Duration.ofMillis(100);
 
-	private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(30);
-
 	/**
 	 * Longest wait for answers at a shutdown. Longer than any answer takes, so that it
 	 * only ends a process whose answers can no longer end.
 	 */
 	private static final Duration DRAIN_TIMEOUT = Duration.ofHours(1);
 
-	private static final int PAGE_SIZE = 500;
-
 	private final RouterSettings settings;
 
 	private final MetricRegistry metrics = new MetricRegistry();
@@ -104,9 +97,9 @@
 
 	private final ServiceRuntime services;
 
-	private final Thread follower;
+	private final ConfigurationFollower follower;
 
-	private volatile boolean closed;
+	private final ConfigurationThreads configuration;
 
 	/**
 	 * Creates a daemon that does not listen yet.
@@ -132,8 +125,13 @@
 				HealthHandler.READY_PATH);
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
 		this.listener.route(new BurnHandler(() -> this.control.burnReport().join()), BurnHandler.PATH);
-		this.follower = new Thread(this::follow, "configuration");
-		this.follower.setDaemon(true);
+		ObjectStore store = new HttpObjectStore(this.client, settings.platform(), settings.platformTimeout());
+		JsonConfigurationCodec codec = new JsonConfigurationCodec();
+		this.follower = new ConfigurationFollower(codec, this.control::apply);
+		this.configuration = new ConfigurationThreads(
+				this.follower, new HeadWatch(store, this.follower), new ConfigurationPublisher(store, codec,
+						settings.name(), clock, () -> UUID.randomUUID().toString(), () -> true),
+				List::of, new SecureRandom());
 	}
 
 	private static RoutePolicy routePolicy(RouterSettings settings) {
@@ -205,7 +203,7 @@
 	public void start() throws IOException {
 		this.controlThread.every(TICK, this::tick);
 		this.listener.start();
-		this.follower.start();
+		this.configuration.start();
 		this.services.start();
 		logger.info("daemon {} listens on {}", this.settings.name(), this.settings.listen());
 	}
@@ -235,50 +233,9 @@
 		this.listener.awaitClose();
 	}
 
-	private void follow() {
-		ObjectStore store = new HttpObjectStore(this.client, this.settings.platform(), this.settings.platformTimeout());
-		Set<String> kinds = Set.of("model", "pipeline", "team", "upstream");
-		while (!this.closed) {
-			try {
-				long revision = readAll(store, kinds);
-				store.watch(kinds, revision, WATCH_TIMEOUT);
-			}
-			catch (PeerException ex) {
-				logger.warn("configuration cannot be read: {}", ex.toString());
-				pause();
-			}
-		}
-	}
-
-	private long readAll(ObjectStore store, Set<String> kinds) throws PeerException {
-		List<OperatorObject> objects = new ArrayList<>();
-		String after = "";
-		ObjectPage page;
-		do {
-			page = store.list(kinds, after, PAGE_SIZE);
-			for (StoredObject stored : page.objects()) {
-				objects.add(ObjectCodec.decode(ObjectKind.of(stored.kind()).orElseThrow(), stored.value()));
-				after = stored.key();
-			}
-		}
-		while (page.more());
-		this.control.apply(Configuration.of(page.revision(), objects));
-		return page.revision();
-	}
-
-	private static void pause() {
-		try {
-			TimeUnit.SECONDS.sleep(1);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	@Override
 	public void close() {
-		this.closed = true;
-		this.follower.interrupt();
+		this.configuration.close();
 		this.listener.close();
 		this.traffic.shutdownNow();
 		this.services.close();
