Add membership, gossip, limit shares, the instance list and leaving upstreams

Cause: daemons did not know one another, a team's limit was not enforced over daemons, and an upstream was leaving only when its object said so.

Membership, Gossip and LimitShares are classes for the control thread that take an event and the time. Their exchanges run on threads of SiblingExchanges, and results come back as events. LeavingUpstreams holds the rule for leaving upstreams; EngineTable asks it. The instance list is read less often in a larger fleet, so that the fleet reads it about ten times a second at any size and the rest is left to gossip.

Ruled out: heartbeat time-outs alone to find a failed share owner, since a bounded digest needs tens of seconds to carry one heartbeat to 330 daemons; failed exchanges raise suspicion instead, and a daemon that is asked for a team it does not own checks on the owner. Ruled out: opening every newly active team after one lease time, since each idle team would then wait 5 s for its first request; a daemon waits only if another one owned the team within the last lease time.

--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/PlatformMain.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/PlatformMain.java
@@ -5,6 +5,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 
+import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.http.HttpListener;
 import org.mulberrycross.standins.CommandLines;
 
@@ -26,10 +27,16 @@
 	 * @throws InterruptedException if the main thread is interrupted
 	 */
 	public static void main(String[] arguments) throws IOException, InterruptedException {
-		CommandLine line = CommandLines.parse(new Options().addOption(null, "port", true, "port on 127.0.0.1"),
+		CommandLine line = CommandLines.parse(
+				new Options().addOption(null, "port", true, "port on 127.0.0.1")
+					.addOption(null, "instance-lag-ms", true, "time after which an edit of the instance list shows"),
 				arguments);
 		HttpListener listener = new HttpListener("127.0.0.1", CommandLines.number(line, "port", 0), WORKER_THREADS);
 		listener.route(new ObjectHandler(new ObjectTable()), "/objects", "/objects/*");
+		listener.route(
+				new InstanceHandler(
+						new InstanceTable(MonotonicClock.system(), CommandLines.number(line, "instance-lag-ms", 0))),
+				"/instances", "/instances/*");
 		listener.start();
 		System.out.println("platform listens on " + listener.port());
 		listener.awaitClose();
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Collectors;
 
@@ -19,6 +20,17 @@
 
 	private final Map<String, EngineState> engines = new HashMap<>();
 
+	private final LeavingUpstreams leaving;
+
+	/**
+	 * Creates an empty table.
+	 * @param leaving decides which engines get no new work, not null; shared with the
+	 * other users on the control thread
+	 */
+	public EngineTable(LeavingUpstreams leaving) {
+		this.leaving = Objects.requireNonNull(leaving, "leaving");
+	}
+
 	/**
 	 * Takes over the engines of a configuration. Engines that stay keep what is known
 	 * about them.
@@ -38,12 +50,40 @@
 	}
 
 	private EngineState state(UpstreamObject upstream) {
+		if (upstream.leaving()) {
+			this.leaving.left(upstream.name());
+		}
 		Optional<EngineState> known = Optional.ofNullable(this.engines.get(upstream.name()));
 		return new EngineState(upstream.name(), Address.parse(upstream.address()), upstream.dataCentre(),
 				upstream.accelerator(), upstream.model(), new LayerRange(upstream.firstLayer(), upstream.endLayer()),
 				known.flatMap(EngineState::load), known.map(EngineState::loadNanos).orElse(0L),
 				known.map(EngineState::outstanding).orElse(0), known.map(EngineState::suspected).orElse(false),
-				upstream.leaving());
+				this.leaving.leaving(upstream.name()));
+	}
+
+	/**
+	 * Notes a load report of an engine. One that is not configured is ignored.
+	 * @param engine the name of the engine, not null
+	 * @param load the report, not null
+	 * @param nanos the time on the daemon's monotonic clock
+	 */
+	public void reported(String engine, EngineLoad load, long nanos) {
+		if (load.leaving()) {
+			this.leaving.left(engine);
+		}
+		this.engines.computeIfPresent(engine,
+				(name, state) -> new EngineState(name, state.address(), state.dataCentre(), state.accelerator(),
+						state.model(), state.layers(), Optional.of(load), nanos, state.outstanding(), state.suspected(),
+						this.leaving.leaving(name)));
+	}
+
+	/**
+	 * Takes over what is known about leaving engines by now.
+	 */
+	public void refreshLeaving() {
+		this.engines.replaceAll((name, state) -> new EngineState(name, state.address(), state.dataCentre(),
+				state.accelerator(), state.model(), state.layers(), state.load(), state.loadNanos(),
+				state.outstanding(), state.suspected(), this.leaving.leaving(name)));
 	}
 
 	/**
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/http/InstanceMessages.java
@@ -0,0 +1,79 @@
+package org.mulberrycross.platform.http;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.platform.Instance;
+
+/**
+ * JSON messages of the instance list. Shared with the platform stand-in. Thread-safe.
+ */
+public final class InstanceMessages {
+
+	private static final String LEAVING = "leaving";
+
+	private InstanceMessages() {
+	}
+
+	/**
+	 * Encodes an instance.
+	 * @param instance the instance, not null
+	 * @return the item
+	 */
+	public static Item item(Instance instance) {
+		return new Item(instance.name(), instance.role().name().toLowerCase(Locale.ROOT), instance.address().toString(),
+				instance.leaving() ? LEAVING : "live", Optional.of(instance.incarnation()));
+	}
+
+	/**
+	 * Decodes an instance. An unknown role becomes {@link Instance.Role#OTHER}.
+	 * @param item the item, not null
+	 * @return the instance, or empty if the name is missing or the address is not valid
+	 */
+	public static Optional<Instance> instance(Item item) {
+		if (item.name() == null || item.address() == null) {
+			return Optional.empty();
+		}
+		try {
+			return Optional.of(new Instance(item.name(), role(item.role()), Address.parse(item.address()),
+					item.incarnation().orElse(0L), LEAVING.equals(item.state())));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static Instance.Role role(String text) {
+		for (Instance.Role role : Instance.Role.values()) {
+			if (role.name().equalsIgnoreCase(text)) {
+				return role;
+			}
+		}
+		return Instance.Role.OTHER;
+	}
+
+	/**
+	 * Body of {@code GET /instances}. Immutable.
+	 *
+	 * @param instances the instances
+	 */
+	public record Instances(List<Item> instances) {
+
+	}
+
+	/**
+	 * An instance. Immutable.
+	 *
+	 * @param name the name
+	 * @param role the role in lower case
+	 * @param address the address, {@code host:port}
+	 * @param state {@code live} or {@code leaving}
+	 * @param incarnation the start time in milliseconds, empty if not known
+	 */
+	public record Item(String name, String role, String address, String state, Optional<Long> incarnation) {
+
+	}
+
+}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
@@ -34,7 +35,11 @@
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
 import org.mulberrycross.platform.StoredObject;
+import org.mulberrycross.platform.http.HttpInstanceList;
 import org.mulberrycross.platform.http.HttpObjectStore;
+import org.mulberrycross.sibling.Member;
+import org.mulberrycross.sibling.http.HttpSiblingClient;
+import org.mulberrycross.sibling.http.SiblingHandler;
 
 /**
  * A running router daemon. Thread-safe.
@@ -53,6 +58,11 @@
 
 	private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(30);
 
+	/**
+	 * Siblings are a little under 1 ms away; a longer silence counts as a failure.
+	 */
+	private static final Duration SIBLING_TIMEOUT = Duration.ofSeconds(1);
+
 	private static final int PAGE_SIZE = 500;
 
 	private final RouterSettings settings;
@@ -69,6 +79,8 @@
 
 	private final RouterControl control;
 
+	private final SiblingExchanges siblings;
+
 	private final Thread follower;
 
 	private volatile boolean closed;
@@ -94,6 +106,12 @@
 		this.listener.route(new HealthHandler(this.control::snapshot), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
+		this.siblings = new SiblingExchanges(this.controlThread, this.control, clock, RandomGenerator.getDefault(),
+				new Member(settings.name(), settings.listen(), System.currentTimeMillis(), 0),
+				new HttpSiblingClient(this.client, SIBLING_TIMEOUT),
+				new HttpInstanceList(this.client, settings.platform(), settings.platformTimeout()), settings.seeds());
+		this.listener.route(new SiblingHandler(this.siblings::gossip, this.siblings::shares, Optional::empty,
+				(digest) -> Optional.empty()), SiblingHandler.PATHS);
 		this.follower = new Thread(this::follow, "configuration");
 		this.follower.setDaemon(true);
 	}
@@ -111,6 +129,7 @@
 	 */
 	public void start() throws IOException {
 		this.controlThread.every(TICK, this.control::tick);
+		this.siblings.start();
 		this.listener.start();
 		this.follower.start();
 		logger.info("daemon {} listens on {}", this.settings.name(), this.settings.listen());
@@ -168,6 +187,7 @@
 	public void close() {
 		this.closed = true;
 		this.follower.interrupt();
+		this.siblings.close();
 		this.listener.close();
 		this.traffic.shutdownNow();
 		this.controlThread.close();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
@@ -28,6 +28,7 @@
 import org.mulberrycross.engine.EngineTable;
 import org.mulberrycross.engine.EngineView;
 import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.LeavingUpstreams;
 import org.mulberrycross.engine.Route;
 import org.mulberrycross.engine.RoutePolicy;
 import org.mulberrycross.engine.RouteRequest;
@@ -62,7 +63,9 @@
 
 	private final Admission admission;
 
-	private final EngineTable engines = new EngineTable();
+	private final LeavingUpstreams leaving = new LeavingUpstreams();
+
+	private final EngineTable engines = new EngineTable(this.leaving);
 
 	private final Map<String, CallerAnswer> waiting = new HashMap<>();
 
@@ -138,6 +141,24 @@
 		}
 	}
 
+	/**
+	 * Returns the upstreams that get no new work, for use on the control thread. After a
+	 * change there, {@link #leavingChanged} is called.
+	 * @return the upstreams, not null
+	 */
+	LeavingUpstreams leaving() {
+		this.control.assertCurrent();
+		return this.leaving;
+	}
+
+	/**
+	 * Publishes what changed in {@link #leaving}.
+	 */
+	void leavingChanged() {
+		this.engines.refreshLeaving();
+		publish(snapshot().configuration(), snapshot().draining());
+	}
+
 	/**
 	 * Lets deadlines pass. Called at a fixed rate on the control thread.
 	 */
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/Rendezvous.java
@@ -0,0 +1,38 @@
+package org.mulberrycross.sibling;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Rendezvous hashing: when a member goes, only the keys that it owned get a new owner.
+ * Thread-safe.
+ */
+public final class Rendezvous {
+
+	private Rendezvous() {
+	}
+
+	/**
+	 * Chooses the owner of a key.
+	 * @param key the key, not null
+	 * @param members the names of the members, not null
+	 * @return the owner, or empty if there are no members
+	 */
+	public static Optional<String> owner(String key, Collection<String> members) {
+		byte[] bytes = key.getBytes(StandardCharsets.UTF_8);
+		int seed = MurmurHash3.hash32x86(bytes);
+		return members.stream()
+			.max(Comparator.comparingLong((String name) -> weight(name, seed))
+				.thenComparing(Comparator.naturalOrder()));
+	}
+
+	private static long weight(String member, int seed) {
+		byte[] bytes = member.getBytes(StandardCharsets.UTF_8);
+		return MurmurHash3.hash128x64(bytes, 0, bytes.length, seed)[0];
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/LeavingUpstreamsTest.java
@@ -0,0 +1,70 @@
+package org.mulberrycross.engine;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.mulberrycross.operator.Configuration;
+import org.mulberrycross.operator.UpstreamKind;
+import org.mulberrycross.operator.UpstreamObject;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class LeavingUpstreamsTest {
+
+	private final LeavingUpstreams leaving = new LeavingUpstreams();
+
+	private final EngineTable engines = new EngineTable(this.leaving);
+
+	/**
+	 * Fails if a leaving upstream returns in its incarnation, or one that restarted stays
+	 * out; an unknown incarnation (0) means the present one.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "5, 5, 5, true", "5, 0, 5, true", "0, 0, 5, true", "5, 5, 4, true", "5, 5, 6, false", "5, 0, 6, false",
+			"5, 4, 5, false", "5, 6, 5, true", "5, 6, 6, true" })
+	void leavingIsStickyForTheIncarnation(long first, long notice, long then, boolean expected) {
+		this.leaving.seen("e", first);
+		this.leaving.left("e", notice);
+		this.leaving.seen("e", then);
+		assertThat(this.leaving.leaving("e")).isEqualTo(expected);
+	}
+
+	/** Fails if one of the four sources is not enough to stop new work. */
+	@ParameterizedTest
+	@CsvSource({ "object", "list", "load", "sibling" })
+	void eachSourceAloneStopsNewWork(String source) {
+		this.engines.configure(configuration(1, source.equals("object")));
+		this.engines.acquire(List
+			.of(new Stage("e", this.engines.view(0).engine("e").orElseThrow().address(), new LayerRange(0, 4))));
+		switch (source) {
+			case "list" -> this.leaving.left("e", 7);
+			case "load" -> this.engines.reported("e", new EngineLoad(0, 0, 8, 1000, true), 0);
+			case "sibling" -> this.leaving.left("e", 0);
+			default -> {
+			}
+		}
+		this.engines.refreshLeaving();
+		assertThat(this.engines.view(0).engine("e").orElseThrow().available()).isFalse();
+		assertThat(this.engines.view(0).engine("e").orElseThrow().outstanding()).isEqualTo(1);
+	}
+
+	/** Fails if a later live report or object revokes the leaving state. */
+	@Test
+	void otherSourcesDoNotRevoke() {
+		this.engines.configure(configuration(1, true));
+		this.engines.configure(configuration(2, false));
+		this.engines.reported("e", new EngineLoad(0, 0, 8, 1000, false), 0);
+		this.leaving.seen("e", 0);
+		this.engines.refreshLeaving();
+		assertThat(this.engines.view(0).engine("e").orElseThrow().available()).isFalse();
+	}
+
+	private static Configuration configuration(long generation, boolean leaving) {
+		return Configuration.of(generation, List.of(new UpstreamObject("e", UpstreamKind.ENGINE, "", "127.0.0.1:1",
+				"dc", "kind", "m", 0, 4, true, leaving, List.of())));
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/GossipTest.java
@@ -0,0 +1,91 @@
+package org.mulberrycross.sibling;
+
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.sibling.http.SiblingCodec;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class GossipTest {
+
+	private final Membership membership = new Membership(
+			new Member("daemon-a", new Address("10.0.0.1", 8080), 1_764_000_000_000L, 0), new Random(1));
+
+	private final Gossip gossip = new Gossip(this.membership, SiblingCodec::size);
+
+	/** Fails if a digest outgrows its bound, or news of low priority displaces higher. */
+	@Test
+	void digestOfAFullTableIsBoundedAndOrderedByPriority() {
+		for (int i = 0; i < 1000; i++) {
+			this.membership.heard(new Member("daemon-" + i, new Address("10.20.30.40", 18080), 1_764_000_000_000L, i),
+					0);
+			this.gossip.leaving(new LeavingNotice("engine-" + i, 1_764_000_000_000L));
+			this.gossip.observedHealth("engine-" + i, true, 0);
+			this.gossip.observedLoad("engine-" + i, 100, 100, 100, 100_000, 0);
+		}
+		Digest digest = this.gossip.received(digest(0, List.of()), 1).reply();
+		assertThat(SiblingCodec.encode(digest).length).isAtMost(Gossip.MAX_DIGEST_BYTES);
+		assertThat(digest.leaving().size()).isGreaterThan(20);
+		assertThat(digest.health()).isNotEmpty();
+		assertThat(digest.load()).isNotEmpty();
+		assertThat(digest.members().size()).isGreaterThan(10);
+	}
+
+	/** Fails if a fresh leaving notice waits behind old ones. */
+	@Test
+	void unsentNoticeGoesFirst() {
+		for (int i = 0; i < 200; i++) {
+			this.gossip.leaving(new LeavingNotice("engine-" + i, 7));
+		}
+		for (int i = 0; i < 20; i++) {
+			this.gossip.received(digest(0, List.of()), i);
+		}
+		this.gossip.leaving(new LeavingNotice("engine-new", 7));
+		assertThat(this.gossip.received(digest(0, List.of()), 30).reply().leaving().get(0).upstream())
+			.isEqualTo("engine-new");
+	}
+
+	/** Fails if the generation goes back or a higher one of a sibling is not told. */
+	@ParameterizedTest
+	@CsvSource({ "4, 0", "5, 0", "6, 1" })
+	void onlyHigherGenerationsAreNews(long theirs, int events) {
+		this.gossip.generation(5);
+		this.gossip.generation(3);
+		assertThat(this.gossip.generation()).isEqualTo(5);
+		assertThat(this.gossip.merge(digest(theirs, List.of()), 0)).hasSize(events);
+	}
+
+	/** Fails if reports that arrive late or twice replace newer ones. */
+	@ParameterizedTest
+	@CsvSource({ "x, 10, 0, false", "x, 9, 0, false", "x, 11, 500, true", "y, 1, 50, true", "y, 99, 200, false" })
+	void newestReportWins(String origin, long version, long ageMillis, boolean news) {
+		this.gossip.merge(digest(0, List.of(load("x", 10, 100))), 0);
+		List<GossipEvent> events = this.gossip.merge(digest(0, List.of(load(origin, version, ageMillis))), 0);
+		assertThat(events.isEmpty()).isEqualTo(!news);
+	}
+
+	/** Fails if a notice is told twice, or one of a later incarnation is not told. */
+	@Test
+	void leavingIsNewsOncePerIncarnation() {
+		assertThat(this.gossip.leaving(new LeavingNotice("e", 5))).isTrue();
+		assertThat(this.gossip.leaving(new LeavingNotice("e", 5))).isFalse();
+		assertThat(this.gossip.leaving(new LeavingNotice("e", 4))).isFalse();
+		assertThat(this.gossip.leaving(new LeavingNotice("e", 6))).isTrue();
+	}
+
+	private static LoadReport load(String origin, long version, long ageMillis) {
+		return new LoadReport("e", origin, version, ageMillis, 1, 2, 8, 9000);
+	}
+
+	private static Digest digest(long generation, List<LoadReport> load) {
+		return new Digest(Digest.PROTOCOL, new Member("daemon-b", new Address("10.0.0.2", 8080), 1, 1), generation,
+				List.of(), List.of(), load, List.of());
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/SiblingRandomRunTest.java
@@ -0,0 +1,175 @@
+package org.mulberrycross.sibling;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mulberrycross.PeerException;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Runs the decisions of 5 to 20 daemons over a bad network with fixed seeds.
+ */
+class SiblingRandomRunTest {
+
+	private static final int STEPS = 10_000;
+
+	private static final int CALM_STEPS = 6_000;
+
+	private static final int TEAMS = 6;
+
+	private static final int UPSTREAMS = 20;
+
+	private long generation;
+
+	/**
+	 * Fails if loss, delay, duplicates, partitions, pauses or restarts let parts exceed
+	 * the stated bound, take back a generation, return a leaving upstream, or keep
+	 * daemons from agreeing again.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20 })
+	void invariantsHoldOverABadNetwork(int seed) throws PeerException {
+		FakeNetwork network = network(seed, 5 + seed % 16);
+		int size = network.nodes.size();
+		Map<String, Long> generations = new HashMap<>();
+		Set<LeavingNotice> notices = new HashSet<>();
+		network.loss = 0.05;
+		network.duplication = 0.05;
+		network.maxDelayMillis = 600;
+		for (int step = 0; step < STEPS; step++) {
+			if (step % 1000 == 300) {
+				network.partition(2 + network.random.nextInt(2));
+			}
+			if (step % 1000 == 700) {
+				network.heal();
+			}
+			disturb(network, size);
+			news(network, notices);
+			traffic(network);
+			network.step();
+			check(network, generations);
+		}
+		network.heal();
+		network.loss = 0;
+		network.maxDelayMillis = 5;
+		for (int index = 0; index < size; index++) {
+			if (!network.nodes.containsKey("d" + index)) {
+				network.start(index);
+			}
+		}
+		for (int step = 0; step < CALM_STEPS; step++) {
+			traffic(network);
+			network.step();
+			check(network, generations);
+		}
+		for (FakeNetwork.Node node : network.nodes.values()) {
+			assertThat(node.membership.alive()).containsExactlyElementsIn(network.nodes.keySet());
+			assertThat(node.gossip.generation()).isEqualTo(this.generation);
+			notices.forEach((notice) -> assertThat(node.leaving.leaving(notice.upstream())).isTrue());
+		}
+		network.limits.forEach((team, limit) -> assertThat(network.held(team)).isAtMost(limit));
+	}
+
+	/**
+	 * Fails if a new owner lends before the parts of an owner that was killed have ended:
+	 * with kills alone the sum over all daemons stays within the limit.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 31, 32, 33, 34, 35 })
+	void killedDaemonsCauseNoOverAdmission(int seed) throws PeerException {
+		FakeNetwork network = network(seed, 12);
+		for (int step = 0; step < STEPS; step++) {
+			if (step % 1000 == 999 && network.nodes.size() > 3) {
+				List<String> names = List.copyOf(network.nodes.keySet());
+				network.kill(names.get(network.random.nextInt(names.size())));
+			}
+			traffic(network);
+			network.step();
+			int at = step;
+			network.limits.forEach((team,
+					limit) -> assertWithMessage("step %s, team %s", at, team).that(network.held(team)).isAtMost(limit));
+		}
+		int used = network.limits.keySet().stream().mapToInt(network::held).sum();
+		assertThat(used).isGreaterThan(0);
+	}
+
+	private static FakeNetwork network(int seed, int size) {
+		FakeNetwork network = new FakeNetwork(seed);
+		for (int team = 0; team < TEAMS; team++) {
+			network.limits.put("team" + team, 1 + network.random.nextInt(12));
+		}
+		for (int index = 0; index < size; index++) {
+			network.start(index);
+		}
+		return network;
+	}
+
+	private static void disturb(FakeNetwork network, int size) {
+		if (network.random.nextInt(400) == 0) {
+			List<FakeNetwork.Node> nodes = List.copyOf(network.nodes.values());
+			nodes.get(network.random.nextInt(nodes.size()))
+				.pause(Duration.ofMillis(500 + network.random.nextInt(15_000)).toNanos());
+		}
+		if (network.random.nextInt(800) == 0) {
+			int index = network.random.nextInt(size);
+			if (network.nodes.containsKey("d" + index) && network.nodes.size() > 3) {
+				network.kill("d" + index);
+			}
+			else {
+				network.start(index);
+			}
+		}
+	}
+
+	private void news(FakeNetwork network, Set<LeavingNotice> notices) {
+		if (network.random.nextInt(200) == 0) {
+			List<FakeNetwork.Node> nodes = List.copyOf(network.nodes.values());
+			FakeNetwork.Node node = nodes.get(network.random.nextInt(nodes.size()));
+			node.gossip.generation(++this.generation);
+			node.gossip.observedHealth("e" + network.random.nextInt(UPSTREAMS), network.random.nextBoolean(),
+					node.nanos());
+			node.gossip.observedLoad("e" + network.random.nextInt(UPSTREAMS), 1, 2, 8, 9000, node.nanos());
+			if (notices.size() < UPSTREAMS / 2 && network.random.nextInt(4) == 0) {
+				LeavingNotice notice = new LeavingNotice("e" + network.random.nextInt(UPSTREAMS), 5);
+				node.learn(notice);
+				notices.add(notice);
+			}
+		}
+	}
+
+	private static void traffic(FakeNetwork network) {
+		for (FakeNetwork.Node node : network.nodes.values()) {
+			if (node.pausedUntil <= network.now && network.random.nextInt(4) == 0) {
+				node.acquire("team" + network.random.nextInt(TEAMS));
+			}
+			if (node.pausedUntil <= network.now && network.random.nextInt(4) == 0) {
+				node.releaseOne();
+			}
+		}
+	}
+
+	private static void check(FakeNetwork network, Map<String, Long> generations) {
+		network.limits.forEach((team, limit) -> assertWithMessage(team).that(network.held(team))
+			.isAtMost(limit * Math.max(1, network.owners(team))));
+		for (FakeNetwork.Node node : network.nodes.values()) {
+			String key = node.name + "/" + node.incarnation;
+			assertThat(node.gossip.generation()).isAtLeast(generations.getOrDefault(key, 0L));
+			generations.put(key, node.gossip.generation());
+			// The instance list lags and still names the incarnation as live.
+			node.left.forEach((notice) -> {
+				node.leaving.seen(notice.upstream(), notice.incarnation());
+				assertThat(node.leaving.leaving(notice.upstream())).isTrue();
+			});
+		}
+	}
+
+}
