Send renewals of shares together, and measure the control parts

A renewal that has been due for a quarter of the lease now goes along with any urgent item to the same owner.

--- /dev/null
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/capacity/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurement of what the control parts of many daemons cost.
+ */
+package org.mulberrycross.standins.capacity;
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/LimitShares.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/LimitShares.java
@@ -154,13 +154,23 @@
 			.stream()
 			.filter((ask) -> nanos - ask.sentNanos() >= EXCHANGE_TIMEOUT.toNanos())
 			.forEach((ask) -> failed(ask, nanos));
+		// Renewals that are not urgent go along with urgent items to the same owner.
+		Set<String> urgent = new HashSet<>();
+		this.parts.forEach((team, part) -> {
+			if (part.urgent(nanos)) {
+				urgent.add(ownerOf(team, part));
+			}
+		});
 		Map<String, List<ShareRequest.Item>> wanted = new TreeMap<>();
-		this.parts.forEach((team, part) -> item(team, part, nanos).ifPresent((item) -> {
-			List<ShareRequest.Item> items = wanted.computeIfAbsent(ownerOf(team, part), (name) -> new ArrayList<>());
-			if (items.size() < MAX_ITEMS) {
-				items.add(item);
+		this.parts.forEach((team, part) -> {
+			String name = ownerOf(team, part);
+			if (urgent.contains(name) && part.due(nanos)) {
+				List<ShareRequest.Item> items = wanted.computeIfAbsent(name, (key) -> new ArrayList<>());
+				if (items.size() < MAX_ITEMS) {
+					items.add(part.item(team, nanos));
+				}
 			}
-		}));
+		});
 		List<Ask> asks = new ArrayList<>();
 		wanted.forEach((name, items) -> ask(name, items, nanos).ifPresent(asks::add));
 		this.parts.values().removeIf((part) -> part.idle(nanos) && part.valid(nanos) == 0);
@@ -257,18 +267,6 @@
 		return part.owner;
 	}
 
-	private Optional<ShareRequest.Item> item(String team, Part part, long nanos) {
-		int valid = part.valid(nanos);
-		int wanted = part.wanted(nanos);
-		boolean more = wanted > valid && nanos - part.askedNanos >= ASK_INTERVAL.toNanos();
-		boolean renew = wanted > 0 && nanos - part.askedNanos >= LEASE.toNanos() / 2;
-		boolean giveBack = wanted == 0 && valid > 0;
-		if (!part.asked || more || renew || giveBack) {
-			return Optional.of(new ShareRequest.Item(team, Math.min(valid, wanted), part.running, wanted));
-		}
-		return Optional.empty();
-	}
-
 	private Optional<Ask> ask(String name, List<ShareRequest.Item> items, long nanos) {
 		Optional<Member> target = this.membership.member(name);
 		if (target.isEmpty() || this.pending.containsKey(name)) {
@@ -296,8 +294,7 @@
 	private void renewOwn(String team, Part part, int maxConcurrent, long nanos) {
 		refreshView(nanos);
 		if (part.running < maxConcurrent && ownerOf(team, part).equals(this.membership.self().name())) {
-			ask(part.owner, List.of(new ShareRequest.Item(team, part.valid(nanos), part.running, part.wanted(nanos))),
-					nanos);
+			ask(part.owner, List.of(part.item(team, nanos)), nanos);
 		}
 	}
 
@@ -343,6 +340,24 @@
 			return this.running == 0 && nanos - this.usedNanos >= IDLE_AFTER.toNanos();
 		}
 
+		private boolean urgent(long nanos) {
+			int wanted = wanted(nanos);
+			int valid = valid(nanos);
+			boolean more = wanted > valid && nanos - this.askedNanos >= ASK_INTERVAL.toNanos();
+			boolean renew = wanted > 0 && nanos - this.askedNanos >= LEASE.toNanos() / 2;
+			boolean giveBack = wanted == 0 && valid > 0;
+			return !this.asked || more || renew || giveBack;
+		}
+
+		private boolean due(long nanos) {
+			return urgent(nanos) || (wanted(nanos) > 0 && nanos - this.askedNanos >= LEASE.toNanos() / 4);
+		}
+
+		private ShareRequest.Item item(String team, long nanos) {
+			int wanted = wanted(nanos);
+			return new ShareRequest.Item(team, Math.min(valid(nanos), wanted), this.running, wanted);
+		}
+
 		private int wanted(long nanos) {
 			return idle(nanos) ? 0 : Math.max(1, Math.max(this.peak, this.running + this.refused));
 		}
