--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/LimitShares.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/LimitShares.java
@@ -32,6 +32,8 @@
  * <li>2 when an owner is paused or wrongly suspected and another takes over, until the
  * views agree and one lease time has passed. An owner that was paused for half a lease
  * time or more waits like a new one;</li>
+ * <li>2 when a daemon that joined becomes the owner and its news needs longer than its
+ * wait to reach the former owner;</li>
  * <li>the number of sides during a partition and one lease time after it.</li>
  * </ul>
  * A request that runs is never cut off when its part ends. Those that run past the end of
