--- a/mulberrycross/src/main/java/org/mulberrycross/caller/Admission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/Admission.java
@@ -115,6 +115,7 @@
 		this.running.remove(id);
 		String team = entry.request.team();
 		this.teamRunning.merge(team, -1, (count, change) -> (count > 1) ? Integer.valueOf(count - 1) : null);
+		releasePlace(entry);
 		entry.lane.serviceTime(entry.workClass).learn(now - entry.startNanos);
 		entry.lane.changeRunning(entry.workClass, -1);
 		entry.queue().charge(queueName(entry.request), tokens - entry.estimate);
@@ -201,7 +202,7 @@
 		double wait = entry.queue().position(queueName(entry.request)) * serviceNanos
 				/ Math.max(1, lane.running(entry.workClass));
 		int ownRunning = this.teamRunning.getOrDefault(entry.request.team(), 0);
-		if (this.settings.fair() && !this.inputs.teamLimits().mayStart(entry.request.team(), ownRunning)) {
+		if (this.settings.fair() && ownRunning >= this.inputs.teamLimits().places(entry.request.team())) {
 			int ownQueued = entry.queue().size(queueName(entry.request));
 			wait = Math.max(wait, ownQueued * serviceNanos / Math.max(1, ownRunning));
 		}
@@ -250,11 +251,12 @@
 		if (!this.settings.fair()) {
 			return queue.peek((name) -> true);
 		}
-		return queue.peek((team) -> this.inputs.teamLimits().mayStart(team, this.teamRunning.getOrDefault(team, 0)));
+		return queue.peek((team) -> this.inputs.teamLimits().tryAcquire(team, this.teamRunning.getOrDefault(team, 0)));
 	}
 
 	private boolean grant(Entry entry, double limitShare, long now, List<AdmissionAction> actions) {
 		if (!this.inputs.capacity().reserve(entry.request, limitShare)) {
+			releasePlace(entry);
 			return false;
 		}
 		if (this.waiting.remove(entry.request.id()) != entry || this.running.put(entry.request.id(), entry) != null) {
@@ -268,6 +270,12 @@
 		return true;
 	}
 
+	private void releasePlace(Entry entry) {
+		if (this.settings.fair()) {
+			this.inputs.teamLimits().release(entry.request.team());
+		}
+	}
+
 	private void refuse(Entry entry, String reason, long waitNanos, List<AdmissionAction> actions) {
 		if (this.waiting.remove(entry.request.id()) != entry
 				|| !entry.queue().remove(queueName(entry.request), entry)) {
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineState.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineState.java
@@ -112,4 +112,9 @@
 				this.leaving || sample.load().leaving(), this.estimate.learn(sample, this.outstanding));
 	}
 
+	EngineState withLeaving(boolean changed) {
+		return new EngineState(this.name, this.address, this.dataCentre, this.accelerator, this.model, this.layers,
+				this.load, this.loadNanos, this.outstanding, this.suspected, changed, this.estimate);
+	}
+
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Collectors;
 
@@ -20,6 +21,17 @@
 
 	private final Map<String, EngineState> engines = new HashMap<>();
 
+	private final LeavingUpstreams leaving;
+
+	/**
+	 * Creates an empty table.
+	 * @param leaving decides which engines get no new work, not null; shared with the
+	 * other users on the control thread
+	 */
+	public EngineTable(LeavingUpstreams leaving) {
+		this.leaving = Objects.requireNonNull(leaving, "leaving");
+	}
+
 	/**
 	 * Takes over the engines of a configuration. Engines that stay keep what is known
 	 * about them.
@@ -39,12 +51,16 @@
 	}
 
 	private EngineState state(UpstreamObject upstream) {
+		if (upstream.leaving()) {
+			this.leaving.left(upstream.name());
+		}
 		Optional<EngineState> known = Optional.ofNullable(this.engines.get(upstream.name()));
 		return new EngineState(upstream.name(), Address.parse(upstream.address()), upstream.dataCentre(),
 				upstream.accelerator(), upstream.model(), new LayerRange(upstream.firstLayer(), upstream.endLayer()),
 				known.flatMap(EngineState::load), known.map(EngineState::loadNanos).orElse(0L),
 				known.map(EngineState::outstanding).orElse(0), known.map(EngineState::suspected).orElse(false),
-				upstream.leaving(), known.map(EngineState::estimate).orElseGet(() -> estimateFor(upstream)));
+				this.leaving.leaving(upstream.name()),
+				known.map(EngineState::estimate).orElseGet(() -> estimateFor(upstream)));
 	}
 
 	/**
@@ -69,8 +85,19 @@
 	 * @param samples the samples by engine, not null
 	 */
 	public void observe(Map<String, StepSample> samples) {
-		samples.forEach(
-				(engine, sample) -> this.engines.computeIfPresent(engine, (name, state) -> state.withSample(sample)));
+		samples.forEach((engine, sample) -> {
+			if (sample.load().leaving()) {
+				this.leaving.left(engine);
+			}
+			this.engines.computeIfPresent(engine, (name, state) -> state.withSample(sample));
+		});
+	}
+
+	/**
+	 * Takes over what is known about leaving engines by now.
+	 */
+	public void refreshLeaving() {
+		this.engines.replaceAll((name, state) -> state.withLeaving(this.leaving.leaving(name)));
 	}
 
 	/**
--- a/mulberrycross/src/main/java/org/mulberrycross/router/HealthHandler.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/HealthHandler.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.glassfish.grizzly.http.server.HttpHandler;
@@ -13,7 +14,7 @@
 
 /**
  * Serves {@code /healthz} and {@code /readyz}. A daemon is ready when it has a
- * configuration and is not shutting down. Thread-safe.
+ * configuration, has joined its siblings and is not shutting down. Thread-safe.
  */
 final class HealthHandler extends HttpHandler {
 
@@ -23,7 +24,10 @@
 
 	private final Supplier<ControlSnapshot> snapshot;
 
-	HealthHandler(Supplier<ControlSnapshot> snapshot) {
+	private final BooleanSupplier joined;
+
+	HealthHandler(Supplier<ControlSnapshot> snapshot, BooleanSupplier joined) {
+		this.joined = Objects.requireNonNull(joined, "joined");
 		this.snapshot = Objects.requireNonNull(snapshot, "snapshot");
 	}
 
@@ -31,7 +35,7 @@
 	public void service(Request request, Response response) throws IOException {
 		ControlSnapshot current = this.snapshot.get();
 		long generation = current.configuration().generation();
-		boolean ready = generation > 0 && !current.draining();
+		boolean ready = generation > 0 && this.joined.getAsBoolean() && !current.draining();
 		boolean ok = request.getRequestURI().equals(HEALTH_PATH) || ready;
 		HttpMessages.reply(response, ok ? 200 : 503,
 				Map.of("ready", ready, "generation", generation, "draining", current.draining()));
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -3,13 +3,13 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
@@ -21,7 +21,6 @@
 import org.mulberrycross.caller.Admission;
 import org.mulberrycross.caller.AdmissionInputs;
 import org.mulberrycross.caller.AdmissionSettings;
-import org.mulberrycross.caller.TeamLimits;
 import org.mulberrycross.caller.WordTokenizer;
 import org.mulberrycross.caller.http.ChatHandler;
 import org.mulberrycross.caller.http.ServiceHandler;
@@ -46,8 +45,13 @@
 import org.mulberrycross.platform.ConfigurationPublisher;
 import org.mulberrycross.platform.HeadWatch;
 import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.http.HttpInstanceList;
 import org.mulberrycross.platform.http.HttpObjectStore;
 import org.mulberrycross.platform.http.JsonConfigurationCodec;
+import org.mulberrycross.sibling.LimitShares;
+import org.mulberrycross.sibling.Member;
+import org.mulberrycross.sibling.http.HttpSiblingClient;
+import org.mulberrycross.sibling.http.SiblingHandler;
 
 /**
  * A running router daemon. Thread-safe.
@@ -71,6 +75,11 @@
 
 	private static final Duration TICK = Duration.ofMillis(100);
 
+	/**
+	 * Siblings are a little under 1 ms away; a longer silence counts as a failure.
+	 */
+	private static final Duration SIBLING_TIMEOUT = Duration.ofSeconds(1);
+
 	/**
 	 * Longest wait for answers at a shutdown. Longer than any answer takes, so that it
 	 * only ends a process whose answers can no longer end.
@@ -95,9 +104,9 @@
 
 	private final RouterControl control;
 
-	private final ServiceRuntime services;
+	private final SiblingExchanges siblings;
 
-	private final ConfigurationFollower follower;
+	private final ServiceRuntime services;
 
 	private final ConfigurationThreads configuration;
 
@@ -119,19 +128,42 @@
 		this.listener.route(new ChatHandler(this::configuration, this.control, new WordTokenizer(),
 				() -> UUID.randomUUID().toString(), clock,
 				new ChatHandler.ChatLimits(settings.maxBodyBytes(), settings.maxWait())), ChatHandler.PATH);
-		this.services = new ServiceRuntime(() -> this.control.snapshot().configuration(), this.client, settings);
+		this.services = new ServiceRuntime(this.control::snapshot, this.client, settings);
 		this.listener.route(this.services.handler(), ServiceHandler.PATHS);
-		this.listener.route(new HealthHandler(this.control::snapshot), HealthHandler.HEALTH_PATH,
+		this.listener.route(new HealthHandler(this.control::snapshot, joined(clock)), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
 		this.listener.route(new BurnHandler(() -> this.control.burnReport().join()), BurnHandler.PATH);
 		ObjectStore store = new HttpObjectStore(this.client, settings.platform(), settings.platformTimeout());
 		JsonConfigurationCodec codec = new JsonConfigurationCodec();
-		this.follower = new ConfigurationFollower(codec, this.control::apply);
+		ConfigurationFollower follower = new ConfigurationFollower(codec, this.control::apply);
+		this.siblings = siblings(settings, clock, follower);
+		this.listener.route(
+				new SiblingHandler(this.siblings::gossip, this.siblings::shares, follower::head, follower::chunk),
+				SiblingHandler.PATHS);
 		this.configuration = new ConfigurationThreads(
-				this.follower, new HeadWatch(store, this.follower), new ConfigurationPublisher(store, codec,
-						settings.name(), clock, () -> UUID.randomUUID().toString(), () -> true),
-				List::of, new SecureRandom());
+				follower, new HeadWatch(store, follower), new ConfigurationPublisher(store, codec, settings.name(),
+						clock, () -> UUID.randomUUID().toString(), this.siblings::isPublisherCandidate),
+				this.siblings::configurationSources, new SecureRandom());
+	}
+
+	/**
+	 * Returns whether this daemon has run for one lease time. Until then it may have to
+	 * hold back the limits of teams that it owns, so callers are better served elsewhere.
+	 * @param clock the daemon's clock
+	 * @return true once the time has passed
+	 */
+	private static BooleanSupplier joined(MonotonicClock clock) {
+		long joined = clock.nanos() + LimitShares.LEASE.toNanos();
+		return () -> clock.nanos() - joined >= 0;
+	}
+
+	private SiblingExchanges siblings(RouterSettings settings, MonotonicClock clock, ConfigurationFollower follower) {
+		return new SiblingExchanges(this.controlThread, this.control, clock, RandomGenerator.getDefault(),
+				new Member(settings.name(), settings.listen(), System.currentTimeMillis(), 0),
+				new HttpSiblingClient(this.client, SIBLING_TIMEOUT),
+				new HttpInstanceList(this.client, settings.platform(), settings.platformTimeout()), settings.seeds(),
+				follower);
 	}
 
 	private static RoutePolicy routePolicy(RouterSettings settings) {
@@ -152,7 +184,7 @@
 						(pipeline) -> configuration().pipeline(pipeline)
 							.map(PipelineObject::longTokens)
 							.orElse(Integer.MAX_VALUE),
-						TeamLimits.local((team) -> configuration().team(team).map(TeamObject::maxConcurrent).orElse(0)),
+						new DeferredTeamLimits(() -> this.siblings.teamLimits()),
 						(request, limitShare) -> this.control.reserve(request, limitShare)));
 	}
 
@@ -202,6 +234,7 @@
 	 */
 	public void start() throws IOException {
 		this.controlThread.every(TICK, this::tick);
+		this.siblings.start();
 		this.listener.start();
 		this.configuration.start();
 		this.services.start();
@@ -236,6 +269,7 @@
 	@Override
 	public void close() {
 		this.configuration.close();
+		this.siblings.close();
 		this.listener.close();
 		this.traffic.shutdownNow();
 		this.services.close();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/RouterControl.java
@@ -39,6 +39,7 @@
 import org.mulberrycross.engine.EngineView;
 import org.mulberrycross.engine.HealthAction;
 import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.LeavingUpstreams;
 import org.mulberrycross.engine.RecoveryEvent;
 import org.mulberrycross.engine.Route;
 import org.mulberrycross.engine.RoutePolicy;
@@ -93,7 +94,9 @@
 
 	private final EngineHealth health = new EngineHealth();
 
-	private final EngineTable engines = new EngineTable();
+	private final LeavingUpstreams leaving = new LeavingUpstreams();
+
+	private final EngineTable engines = new EngineTable(this.leaving);
 
 	private final Map<String, CallerAnswer> waiting = new HashMap<>();
 
@@ -128,7 +131,7 @@
 		this.admission = Objects.requireNonNull(admission, "admission");
 		this.probe = Objects.requireNonNull(probe, "probe");
 		this.snapshot = new AtomicReference<>(
-				new ControlSnapshot(Configuration.empty(), new EngineView(clock.nanos(), List.of()), false));
+				new ControlSnapshot(Configuration.empty(), new EngineView(clock.nanos(), List.of()), Set.of(), false));
 	}
 
 	/**
@@ -178,6 +181,24 @@
 		}
 	}
 
+	/**
+	 * Returns the upstreams that get no new work, for use on the control thread. After a
+	 * change there, {@link #leavingChanged} is called.
+	 * @return the upstreams, not null
+	 */
+	LeavingUpstreams leaving() {
+		this.control.assertCurrent();
+		return this.leaving;
+	}
+
+	/**
+	 * Publishes what changed in {@link #leaving}.
+	 */
+	void leavingChanged() {
+		this.engines.refreshLeaving();
+		publish(snapshot().configuration(), snapshot().draining());
+	}
+
 	/**
 	 * Returns the burn of this daemon's error budgets.
 	 * @return completes with the report once the control thread has made it
@@ -307,7 +328,6 @@
 					tokens);
 			this.control.post(() -> {
 				this.engines.release(stages);
-				publish(snapshot().configuration(), snapshot().draining());
 				perform(this.admission.finished(id, tokens.get(), complete, this.clock.nanos()));
 			});
 		});
@@ -394,7 +414,8 @@
 
 	private void publish(Configuration configuration, boolean draining) {
 		this.control.assertCurrent();
-		this.snapshot.set(new ControlSnapshot(configuration, this.engines.view(this.clock.nanos()), draining));
+		this.snapshot.set(new ControlSnapshot(configuration, this.engines.view(this.clock.nanos()),
+				this.leaving.names(), draining));
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/service/ServiceDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/service/ServiceDirectory.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -23,13 +24,18 @@
 
 	private final Supplier<Configuration> configuration;
 
+	private final Predicate<String> leaving;
+
 	private final AtomicReference<Index> index = new AtomicReference<>(Index.of(Configuration.empty()));
 
 	/**
 	 * Creates a directory.
 	 * @param configuration returns the configuration in force, not null
+	 * @param leaving says whether an upstream gets no new work for another reason than
+	 * its object, not null
 	 */
-	public ServiceDirectory(Supplier<Configuration> configuration) {
+	public ServiceDirectory(Supplier<Configuration> configuration, Predicate<String> leaving) {
+		this.leaving = Objects.requireNonNull(leaving, "leaving");
 		this.configuration = Objects.requireNonNull(configuration, "configuration");
 	}
 
@@ -53,7 +59,7 @@
 	 */
 	public List<UpstreamObject> candidates(ServiceCall call, Set<String> tried) {
 		return upstreams(call.service()).stream()
-			.filter((upstream) -> !upstream.leaving())
+			.filter((upstream) -> !upstream.leaving() && !this.leaving.test(upstream.name()))
 			.filter((upstream) -> !tried.contains(upstream.name()))
 			.filter((upstream) -> matching(upstream, call).isPresent())
 			.toList();
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/EngineEstimateTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/EngineEstimateTest.java
@@ -90,7 +90,7 @@
 	/** Fails if a report is not applied, or a similar new engine starts from nothing. */
 	@Test
 	void tableAppliesSamplesAndNewEnginesLearnFromSimilarOnes() {
-		EngineTable table = new EngineTable();
+		EngineTable table = new EngineTable(new LeavingUpstreams());
 		UpstreamObject first = UpstreamObject.engine("e1", "127.0.0.1:1", "d", "fast", "m", 0, 8);
 		table.configure(Configuration.of(1, List.of(first)));
 		table.observe(Map.of("e1", sample(8, 0), "unknown", sample(8, 0)));
--- a/mulberrycross/src/test/java/org/mulberrycross/router/ServedSystemModel.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/ServedSystemModel.java
@@ -21,11 +21,13 @@
 import org.mulberrycross.caller.AdmissionInputs;
 import org.mulberrycross.caller.AdmissionSettings;
 import org.mulberrycross.caller.CallerRequest;
+import org.mulberrycross.caller.TeamLimits;
 import org.mulberrycross.caller.WorkClass;
 import org.mulberrycross.engine.EngineLoad;
 import org.mulberrycross.engine.EngineTable;
 import org.mulberrycross.engine.ExpectedTimePolicy;
 import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.LeavingUpstreams;
 import org.mulberrycross.engine.RoutePolicies;
 import org.mulberrycross.engine.RoutePolicy;
 import org.mulberrycross.engine.RouteRequest;
@@ -78,7 +80,7 @@
 
 	private final Map<String, Engine> engines = new HashMap<>();
 
-	private final EngineTable table = new EngineTable();
+	private final EngineTable table = new EngineTable(new LeavingUpstreams());
 
 	private final Map<String, StepSample> samples = new HashMap<>();
 
@@ -109,8 +111,8 @@
 		this.load = load;
 		this.longWork = longWork;
 		this.admission = new Admission(fair ? AdmissionSettings.fair(512, 2048) : AdmissionSettings.fifo(512, 2048),
-				new AdmissionInputs((team) -> 1, (pipeline) -> 8 * SHORT_TOKENS, (team, running) -> true,
-						this::reserve));
+				new AdmissionInputs((team) -> 1, (pipeline) -> 8 * SHORT_TOKENS,
+						TeamLimits.local((team) -> Integer.MAX_VALUE), this::reserve));
 		List<UpstreamObject> upstreams = new ArrayList<>();
 		for (int range = 0; range < 3; range++) {
 			double rate = 0;
