--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseStore.java
@@ -0,0 +1,44 @@
+package org.mulberrycross.engine;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.mulberrycross.PeerException;
+
+/**
+ * Versioned store of lease records. Versions are positive and are never used again; reads
+ * return the latest record; records are never deleted, since the fencing number would
+ * start again. Implementations are thread-safe and block with a bound. All methods throw
+ * {@link org.mulberrycross.NotRunException} if the call did not take effect and another
+ * {@link PeerException} if a write may have taken effect.
+ */
+public interface LeaseStore {
+
+	/**
+	 * Reads a record.
+	 * @param name the name of the lease, not null
+	 * @return the record, or empty if there is none
+	 * @throws PeerException if the store does not answer
+	 */
+	Optional<StoredLease> read(String name) throws PeerException;
+
+	/**
+	 * Creates a record.
+	 * @param name the name of the lease, not null
+	 * @param lease the record, not null
+	 * @return the version, or empty if a record of that name exists
+	 * @throws PeerException if the store does not answer
+	 */
+	OptionalLong create(String name, LeaseRecord lease) throws PeerException;
+
+	/**
+	 * Replaces a record if its version is the expected one.
+	 * @param name the name of the lease, not null
+	 * @param lease the record, not null
+	 * @param version the expected version
+	 * @return the new version, or empty if the record has another version
+	 * @throws PeerException if the store does not answer
+	 */
+	OptionalLong replace(String name, LeaseRecord lease, long version) throws PeerException;
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/http/LeaseCodec.java
@@ -0,0 +1,37 @@
+package org.mulberrycross.engine.http;
+
+import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.engine.LeaseRecord;
+import org.mulberrycross.http.Json;
+
+/**
+ * JSON encoding of lease records. Thread-safe.
+ */
+public final class LeaseCodec {
+
+	private static final Peer STORE = new Peer(Peer.Kind.PLATFORM, "");
+
+	private LeaseCodec() {
+	}
+
+	/**
+	 * Encodes a record.
+	 * @param lease the record, not null
+	 * @return the JSON text in UTF-8
+	 */
+	public static byte[] encode(LeaseRecord lease) {
+		return Json.encode(lease);
+	}
+
+	/**
+	 * Decodes a record.
+	 * @param json the JSON text in UTF-8, not null
+	 * @return the record
+	 * @throws PeerException if the text is not a record
+	 */
+	public static LeaseRecord decode(byte[] json) throws PeerException {
+		return Json.decode(json, LeaseRecord.class, STORE);
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/weightstore/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions about the weight store that engines load from.
+ */
+package org.mulberrycross.weightstore;
