--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineStandin.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineStandin.java
@@ -30,7 +30,7 @@
 
 	private final int modelLayers;
 
-	private final String version;
+	private volatile String version;
 
 	private final int batchLimit;
 
@@ -86,6 +86,14 @@
 		return new EngineLoad(this.running, this.queue.size(), this.batchLimit, this.stepMicros, false);
 	}
 
+	/**
+	 * Changes the model version that is served from the next step on.
+	 * @param served the version, not null
+	 */
+	public void serve(String served) {
+		this.version = served;
+	}
+
 	private void runBatches() {
 		List<Pending> batch = new ArrayList<>();
 		while (!this.closed) {
