Run orders and leases in rounds, with runs that pause daemons inside any call

LeasedOrders composes lease, reports and orders for the engines of one lease. The randomised run now drives this class and pauses a daemon inside the calls of its store and clock, while the others run; before, it drove the decisions with pauses between their steps only. LeaseStore has one write for create and replace.

Ruled out: renewing leases all the time. With 15 s leases renewed after 5 s, 880 engines would cost 176 writes/s by arithmetic, so a lease is taken only while an engine has another setup than the desired one.

Tests fail without the mechanism.

--- a/mulberrycross-standins/src/test/java/org/mulberrycross/standins/engine/OrderHandlerTest.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/standins/engine/OrderHandlerTest.java
@@ -1,22 +1,36 @@
 package org.mulberrycross.standins.engine;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 import org.mulberrycross.Address;
+import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.engine.EngineOrder;
+import org.mulberrycross.engine.EngineOrders;
 import org.mulberrycross.engine.EngineReport;
 import org.mulberrycross.engine.EngineRole;
 import org.mulberrycross.engine.EngineSetup;
+import org.mulberrycross.engine.LeaseWriter;
+import org.mulberrycross.engine.LeasedOrders;
+import org.mulberrycross.engine.OrderLease;
 import org.mulberrycross.engine.OrderReply;
+import org.mulberrycross.engine.OrderSender;
+import org.mulberrycross.engine.OrderedEngine;
 import org.mulberrycross.engine.http.HttpOrderClient;
 import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.http.HttpListener;
+import org.mulberrycross.router.ObjectLeaseStore;
+import org.mulberrycross.standins.platform.ObjectTable;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -68,6 +82,38 @@
 		assertThat(setup.report().current()).isEqualTo(NEW);
 	}
 
+	/**
+	 * Fails if the parts do not work together over the object API: the second daemon
+	 * waits out the lease of the first one and then orders with the next number.
+	 */
+	@Test
+	void daemonsOrderOneAfterTheOther() throws Exception {
+		OrderedSetup setup = new OrderedSetup(OLD, true, Duration.ofHours(1), this.served::add);
+		AtomicLong seconds = new AtomicLong();
+		ObjectTable table = new ObjectTable();
+		try (HttpListener listener = listener(setup); HttpClient http = new HttpClient(1)) {
+			Address address = new Address("127.0.0.1", listener.port());
+			LeasedOrders first = orders("first", table, http, seconds);
+			LeasedOrders second = orders("second", table, http, seconds);
+			first.round(List.of(new OrderedEngine("engine", address, NEW, true)), (weights, now) -> true);
+			assertThat(setup.report()).isEqualTo(new EngineReport(OLD, NEW, 1));
+			List<OrderedEngine> back = List.of(new OrderedEngine("engine", address, OLD, true));
+			second.round(back, (weights, now) -> true);
+			assertThat(second.grant()).isEqualTo(Optional.empty());
+			seconds.set(11);
+			second.round(back, (weights, now) -> true);
+			assertThat(setup.report()).isEqualTo(new EngineReport(OLD, OLD, 2));
+		}
+	}
+
+	private static LeasedOrders orders(String holder, ObjectTable table, HttpClient http, AtomicLong seconds) {
+		HttpOrderClient client = new HttpOrderClient(http);
+		MonotonicClock clock = () -> TimeUnit.SECONDS.toNanos(seconds.get());
+		return new LeasedOrders(new OrderLease(holder, Duration.ofSeconds(10)),
+				new LeaseWriter(new ObjectLeaseStore(table), "engine"), new EngineOrders(Duration.ofSeconds(5)), client,
+				new OrderSender(client, clock, Duration.ofSeconds(5)), clock, () -> UUID.randomUUID().toString());
+	}
+
 	private static HttpListener listener(OrderedSetup setup) throws Exception {
 		HttpListener listener = new HttpListener("127.0.0.1", 0, 2);
 		listener.route(new OrderHandler(setup), HttpOrderClient.ORDERS_PATH, HttpOrderClient.STATE_PATH);
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineOrders.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineOrders.java
@@ -34,6 +34,14 @@
 		this.sendBound = Objects.requireNonNull(sendBound, "sendBound");
 	}
 
+	/**
+	 * Returns the bound on the exchange of one order.
+	 * @return the bound
+	 */
+	public Duration sendBound() {
+		return this.sendBound;
+	}
+
 	/**
 	 * Returns the order that an engine needs now.
 	 * @param grant the right to send orders, not null
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseStore.java
@@ -23,22 +23,13 @@
 	Optional<StoredLease> read(String name) throws PeerException;
 
 	/**
-	 * Creates a record.
+	 * Writes a record if the stored one has the expected version.
 	 * @param name the name of the lease, not null
 	 * @param lease the record, not null
-	 * @return the version, or empty if a record of that name exists
+	 * @param version the expected version, 0 if there must be no record
+	 * @return the new version, or empty if the stored record has another version
 	 * @throws PeerException if the store does not answer
 	 */
-	OptionalLong create(String name, LeaseRecord lease) throws PeerException;
-
-	/**
-	 * Replaces a record if its version is the expected one.
-	 * @param name the name of the lease, not null
-	 * @param lease the record, not null
-	 * @param version the expected version
-	 * @return the new version, or empty if the record has another version
-	 * @throws PeerException if the store does not answer
-	 */
-	OptionalLong replace(String name, LeaseRecord lease, long version) throws PeerException;
+	OptionalLong write(String name, LeaseRecord lease, long version) throws PeerException;
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseWriter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseWriter.java
@@ -34,9 +34,7 @@
 	public LeaseEvent perform(LeaseAction action) {
 		try {
 			if (action instanceof LeaseAction.Write write) {
-				OptionalLong version = (write.version() > 0)
-						? this.store.replace(this.name, write.lease(), write.version())
-						: this.store.create(this.name, write.lease());
+				OptionalLong version = this.store.write(this.name, write.lease(), write.version());
 				return version.isPresent() ? new LeaseEvent.Written(version.getAsLong()) : new LeaseEvent.Refused();
 			}
 			return new LeaseEvent.Found(this.store.read(this.name));
--- a/mulberrycross/src/main/java/org/mulberrycross/router/ObjectLeaseStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/ObjectLeaseStore.java
@@ -39,13 +39,10 @@
 	}
 
 	@Override
-	public OptionalLong create(String name, LeaseRecord lease) throws PeerException {
-		return this.store.create(PREFIX + name, LeaseCodec.encode(lease));
-	}
-
-	@Override
-	public OptionalLong replace(String name, LeaseRecord lease, long version) throws PeerException {
-		return this.store.replace(PREFIX + name, LeaseCodec.encode(lease), version);
+	public OptionalLong write(String name, LeaseRecord lease, long version) throws PeerException {
+		byte[] value = LeaseCodec.encode(lease);
+		return (version > 0) ? this.store.replace(PREFIX + name, value, version)
+				: this.store.create(PREFIX + name, value);
 	}
 
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/FakeLeaseStore.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/FakeLeaseStore.java
@@ -48,16 +48,7 @@
 	}
 
 	@Override
-	public OptionalLong create(String name, LeaseRecord lease) throws PeerException {
-		return write(name, lease, 0);
-	}
-
-	@Override
-	public OptionalLong replace(String name, LeaseRecord lease, long version) throws PeerException {
-		return write(name, lease, version);
-	}
-
-	private OptionalLong write(String name, LeaseRecord lease, long version) throws PeerException {
+	public OptionalLong write(String name, LeaseRecord lease, long version) throws PeerException {
 		Fault fault = this.faults.get();
 		if (fault == Fault.DOWN) {
 			throw new NotRunException(Step.WRITE_OBJECT, PEER, "store is down");
@@ -83,24 +74,12 @@
 	}
 
 	/**
-	 * What happens to one call of the store.
+	 * What happens to one call of the store: done and answered, known not to be done,
+	 * done without an answer, lost on its way, or done later without an answer.
 	 */
 	enum Fault {
 
-		/** The call is done and answered. */
-		NONE,
-
-		/** The call is not done, and the caller knows it. */
-		DOWN,
-
-		/** A write is done and its answer is lost. */
-		ANSWER_LOST,
-
-		/** A write is lost on its way. */
-		REQUEST_LOST,
-
-		/** A write is done later, and its answer is lost. */
-		DELAYED
+		NONE, DOWN, ANSWER_LOST, REQUEST_LOST, DELAYED
 
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/OrderRun.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/OrderRun.java
@@ -1,14 +1,11 @@
 package org.mulberrycross.engine;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 
 import org.mulberrycross.Address;
@@ -16,11 +13,11 @@
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
-import org.mulberrycross.Transition;
 import org.mulberrycross.weightstore.LoadBudget;
 
 /**
- * Randomised run of several daemons that order setups from engines, on a manual clock.
+ * Randomised run of several daemons that order setups from engines, on a manual clock. A
+ * daemon is paused inside a call of its store or clock by running the others meanwhile.
  * Throws as soon as two daemons hold a lease, an order leaves without a lease that lasts,
  * or an engine that checks fencing numbers acts on an order of a former holder.
  */
@@ -53,7 +50,7 @@
 
 	private final Map<String, Daemon> terms = new HashMap<>();
 
-	private final Deque<Runnable> lateOrders = new ArrayDeque<>();
+	private final List<Runnable> lateOrders = new ArrayList<>();
 
 	private final Map<Event, Integer> events = new EnumMap<>(Event.class);
 
@@ -63,6 +60,10 @@
 
 	private boolean outage;
 
+	private int steps;
+
+	private Daemon current;
+
 	private int tokens;
 
 	OrderRun(long seed) {
@@ -80,56 +81,50 @@
 		return this.events;
 	}
 
-	void run(int steps) {
-		for (int i = 0; i < steps; i++) {
-			fault(this.random.nextInt(1000));
+	void run(int count) {
+		this.steps = count;
+		while (this.steps > 0) {
 			step();
 		}
 	}
 
-	boolean settle(int steps) {
+	boolean settle(int count) {
 		this.faults = false;
 		this.outage = false;
-		this.daemons.forEach((daemon) -> daemon.paused = false);
 		while (this.store.deliverDelayed() || deliverLateOrder()) {
 			count(Event.LATE_DELIVERY);
 		}
-		for (int i = 0; i < steps; i++) {
-			step();
-		}
+		run(count);
 		return this.engines.stream().allMatch((engine) -> engine.report().current().equals(engine.desired));
 	}
 
 	private void step() {
+		this.steps--;
 		this.nanos += Duration.ofMillis(this.random.nextInt(100)).toNanos();
+		if (this.faults) {
+			fault(this.random.nextInt(1000));
+		}
 		Daemon daemon = this.daemons.get(this.random.nextInt(DAEMONS));
 		if (!daemon.paused) {
-			daemon.leases.values().forEach((lease) -> advance(daemon, lease));
-			this.engines.stream()
-				.filter((engine) -> this.random.nextBoolean())
-				.forEach((engine) -> advance(daemon, engine));
+			daemon.leases.keySet().forEach((lease) -> round(daemon, lease));
 		}
 		checkHolders();
 	}
 
 	private void fault(int draw) {
 		Daemon daemon = this.daemons.get(this.random.nextInt(DAEMONS));
-		if (draw < (daemon.paused ? 12 : 6)) {
-			daemon.paused = !daemon.paused;
-			count(Event.PAUSE);
-		}
-		else if (draw < 14) {
+		if (draw < 5 && !daemon.paused) {
 			this.daemons.set(this.daemons.indexOf(daemon), new Daemon());
 			count(Event.KILL);
 		}
-		else if (draw < (this.outage ? 24 : 16)) {
+		else if (draw >= 5 && draw < (this.outage ? 14 : 7)) {
 			this.outage = !this.outage;
 			count(Event.OUTAGE);
 		}
-		else if (draw < 40 && this.store.deliverDelayed() || draw >= 40 && draw < 45 && deliverLateOrder()) {
+		else if (draw < 40 && this.store.deliverDelayed() || draw >= 40 && draw < 43 && deliverLateOrder()) {
 			count(Event.LATE_DELIVERY);
 		}
-		else if (draw > 970) {
+		else if (draw > 950) {
 			this.engines.get(this.random.nextInt(this.engines.size())).desired = setup();
 		}
 	}
@@ -139,91 +134,66 @@
 		return new EngineSetup("model", "v" + this.random.nextInt(3), "", roles[this.random.nextInt(roles.length)]);
 	}
 
-	private void advance(Daemon daemon, Lease lease) {
-		if (lease.action != null) {
-			lease.event = lease.writer.perform(lease.action);
-			lease.action = null;
+	// Runs the other daemons meanwhile, until this one goes on.
+	private void pause(Daemon daemon, int oneIn) {
+		if (!this.faults || this.random.nextInt(oneIn) > 0) {
 			return;
 		}
-		LeaseEvent event = (lease.event != null) ? lease.event : new LeaseEvent.Tick("token-" + this.tokens++);
-		long term = lease.term();
-		boolean unsettled = lease.state.unsettled() && event instanceof LeaseEvent.Found;
-		Transition<LeaseState, LeaseAction> step = daemon.decision.next(lease.state, event, daemon.now());
-		lease.state = step.state();
-		lease.event = null;
-		step.actions().forEach((action) -> lease.action = action);
-		if (unsettled && lease.state.grant().isPresent()) {
-			count(Event.LOST_WRITE_SETTLED);
-		}
-		if (lease.term() > term) {
-			count(Event.NEW_TERM);
-			String key = lease.name + " " + lease.term();
-			check(this.terms.putIfAbsent(key, daemon) == null, "two terms have the number " + key);
-		}
-	}
-
-	private void advance(Daemon daemon, Engine engine) {
-		Optional<LeaseGrant> grant = daemon.leases.get(engine.lease).state.grant();
-		Planned planned = daemon.planned.remove(engine);
-		if (planned != null) {
-			send(daemon, engine, planned);
-		}
-		else if (grant.isPresent()) {
-			EngineReport report = engine.report();
-			if (grant.get().lasts(Duration.ZERO, daemon.now())
-					&& this.orders.settled(grant.get(), engine.desired, report, engine.checks)) {
-				engine.settledBy = Math.max(engine.settledBy, grant.get().fencing());
-			}
-			this.orders
-				.next(grant.get(), engine.desired, report, engine.checks,
-						(setup, now) -> daemon.budget.tryStart(WEIGHT_BYTES, now), daemon.now())
-				.ifPresent((order) -> plan(daemon, engine, new Planned(order, grant.get())));
+		daemon.paused = true;
+		count(Event.PAUSE);
+		for (int left = this.random.nextInt(500); left > 0 && this.steps > 0; left--) {
+			step();
 		}
+		daemon.paused = false;
 	}
 
-	private void plan(Daemon daemon, Engine engine, Planned planned) {
-		daemon.planned.put(engine, planned);
-		if (this.faults && this.random.nextInt(10) == 0) {
-			daemon.paused = true;
-			count(Event.PAUSE);
+	private void round(Daemon daemon, String lease) {
+		Daemon interrupted = this.current;
+		this.current = daemon;
+		LeasedOrders leased = daemon.leases.get(lease);
+		long term = term(leased);
+		List<Engine> group = this.engines.stream().filter((engine) -> engine.lease.equals(lease)).toList();
+		leased.round(group.stream().map(Engine::ordered).toList(),
+				(setup, now) -> daemon.budget.tryStart(WEIGHT_BYTES, now));
+		this.current = interrupted;
+		if (term(leased) > term) {
+			count(Event.NEW_TERM);
+			String key = lease + " " + term(leased);
+			check(this.terms.putIfAbsent(key, daemon) == null, "two terms have the number " + key);
 		}
+		leased.grant()
+			.filter((grant) -> daemon.holds(lease))
+			.ifPresent((grant) -> group.stream()
+				.filter((engine) -> this.orders.settled(grant, engine.desired, engine.report(), engine.checks))
+				.forEach((engine) -> engine.settledBy = Math.max(engine.settledBy, grant.fencing())));
 	}
 
-	private void send(Daemon daemon, Engine engine, Planned planned) {
-		OrderSender sender = new OrderSender((name, address, order, timeout) -> {
-			check(planned.grant().validUntilNanos() - daemon.now() > timeout.toNanos(), "order leaves after its lease");
-			return deliver(engine, order);
-		}, daemon::now, SEND_BOUND);
-		try {
-			sender.send(engine.lease, ADDRESS, planned.order(), planned.grant());
-			count(Event.ORDER_ANSWERED);
-		}
-		catch (OutcomeUnknownException ex) {
-			count(Event.ORDER_LOST);
-		}
-		catch (PeerException ex) {
-			count(Event.ORDER_NOT_SENT);
-		}
+	private static long term(LeasedOrders leased) {
+		return leased.grant().map(LeaseGrant::fencing).orElse(0L);
 	}
 
 	private OrderReply deliver(Engine engine, EngineOrder order) throws PeerException {
 		int draw = this.faults ? this.random.nextInt(10) : 9;
-		if (draw < 3) {
+		if (draw < 5) {
 			this.lateOrders.add(() -> engine.receive(order));
 		}
-		else if (draw > 3) {
+		else if (draw > 5) {
 			OrderReply reply = engine.receive(order);
-			if (draw > 4) {
+			if (draw > 6) {
+				count(Event.ORDER_ANSWERED);
 				return reply;
 			}
 		}
-		throw new OutcomeUnknownException(Step.ORDER, new Peer(Peer.Kind.ENGINE, engine.lease), "no answer", null);
+		count(Event.ORDER_LOST);
+		throw new OutcomeUnknownException(Step.ORDER, new Peer(Peer.Kind.ENGINE, engine.name()), "no answer", null);
 	}
 
 	private boolean deliverLateOrder() {
-		Optional<Runnable> order = Optional.ofNullable(this.lateOrders.poll());
-		order.ifPresent(Runnable::run);
-		return order.isPresent();
+		if (this.lateOrders.isEmpty()) {
+			return false;
+		}
+		this.lateOrders.remove(this.random.nextInt(this.lateOrders.size())).run();
+		return true;
 	}
 
 	private void checkHolders() {
@@ -233,7 +203,12 @@
 		}
 	}
 
+	private Engine engine(String name) {
+		return this.engines.stream().filter((engine) -> engine.name().equals(name)).findFirst().orElseThrow();
+	}
+
 	private FakeLeaseStore.Fault storeFault() {
+		pause(this.current, 300);
 		if (this.outage) {
 			return FakeLeaseStore.Fault.DOWN;
 		}
@@ -257,44 +232,8 @@
 	 */
 	enum Event {
 
-		PAUSE, KILL, OUTAGE, LATE_DELIVERY, NEW_TERM, LOST_WRITE_SETTLED, ORDER_ANSWERED, ORDER_LOST, ORDER_NOT_SENT,
-		FORMER_HOLDER_REFUSED, FORMER_HOLDER_OBEYED
-
-	}
-
-	/**
-	 * An order that was decided and not sent yet.
-	 *
-	 * @param order the order
-	 * @param grant the right under which it was decided
-	 */
-	private record Planned(EngineOrder order, LeaseGrant grant) {
-
-	}
-
-	/**
-	 * One lease as one daemon sees it, with what is outstanding.
-	 */
-	private final class Lease {
-
-		private final String name;
-
-		private final LeaseWriter writer;
-
-		private LeaseState state = LeaseState.initial();
-
-		private LeaseAction action;
-
-		private LeaseEvent event;
-
-		Lease(String name) {
-			this.name = name;
-			this.writer = new LeaseWriter(OrderRun.this.store, name);
-		}
-
-		long term() {
-			return this.state.held().lease().fencing();
-		}
+		PAUSE, KILL, OUTAGE, LATE_DELIVERY, NEW_TERM, ORDER_ANSWERED, ORDER_LOST, ORDER_NOT_SENT, FORMER_HOLDER_REFUSED,
+		FORMER_HOLDER_OBEYED
 
 	}
 
@@ -311,14 +250,35 @@
 
 		private final LoadBudget budget = new LoadBudget(WEIGHT_BYTES, now());
 
-		private final Map<String, Lease> leases = new HashMap<>();
-
-		private final Map<Engine, Planned> planned = new HashMap<>();
+		private final Map<String, LeasedOrders> leases = new HashMap<>();
 
 		private boolean paused;
 
 		Daemon() {
-			OrderRun.this.engines.forEach((engine) -> this.leases.computeIfAbsent(engine.lease, Lease::new));
+			OrderRun.this.engines.forEach((engine) -> this.leases.computeIfAbsent(engine.lease, this::leased));
+		}
+
+		private LeasedOrders leased(String lease) {
+			OrderSender sender = new OrderSender((name, address, order, timeout) -> {
+				LeaseGrant grant = this.leases.get(lease).grant().orElseThrow();
+				check(grant.lasts(timeout, now()), "order leaves after its lease");
+				return deliver(engine(name), order);
+			}, () -> {
+				long now = pausedNow(8);
+				if (!this.leases.get(lease).grant().orElseThrow().lasts(SEND_BOUND, now)) {
+					count(Event.ORDER_NOT_SENT);
+				}
+				return now;
+			}, SEND_BOUND);
+			LeaseWriter writer = new LeaseWriter(OrderRun.this.store, lease);
+			return new LeasedOrders(new OrderLease("daemon", LEASE), writer, OrderRun.this.orders,
+					(name, address, timeout) -> engine(name).report(), sender, () -> pausedNow(300),
+					() -> "token-" + OrderRun.this.tokens++);
+		}
+
+		private long pausedNow(int oneIn) {
+			pause(this, oneIn);
+			return now();
 		}
 
 		long now() {
@@ -326,9 +286,7 @@
 		}
 
 		boolean holds(String lease) {
-			return this.leases.get(lease).state.grant()
-				.filter((grant) -> grant.lasts(Duration.ZERO, now()))
-				.isPresent();
+			return this.leases.get(lease).grant().filter((grant) -> grant.lasts(Duration.ZERO, now())).isPresent();
 		}
 
 	}
@@ -361,6 +319,14 @@
 			this.checks = checks;
 		}
 
+		String name() {
+			return this.lease + " " + this.checks;
+		}
+
+		OrderedEngine ordered() {
+			return new OrderedEngine(name(), ADDRESS, this.desired, this.checks);
+		}
+
 		EngineReport report() {
 			if (OrderRun.this.nanos >= this.loadedNanos) {
 				this.current = this.target;
