--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
@@ -1,8 +1,10 @@
 package org.mulberrycross.engine;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Collectors;
 
@@ -19,6 +21,17 @@
 
 	private final Map<String, EngineState> engines = new HashMap<>();
 
+	private final LeavingUpstreams leaving;
+
+	/**
+	 * Creates an empty table.
+	 * @param leaving decides which engines get no new work, not null; shared with the
+	 * other users on the control thread
+	 */
+	public EngineTable(LeavingUpstreams leaving) {
+		this.leaving = Objects.requireNonNull(leaving, "leaving");
+	}
+
 	/**
 	 * Takes over the engines of a configuration. Engines that stay keep what is known
 	 * about them.
@@ -38,12 +51,53 @@
 	}
 
 	private EngineState state(UpstreamObject upstream) {
+		if (upstream.leaving()) {
+			this.leaving.left(upstream.name());
+		}
 		Optional<EngineState> known = Optional.ofNullable(this.engines.get(upstream.name()));
 		return new EngineState(upstream.name(), Address.parse(upstream.address()), upstream.dataCentre(),
 				upstream.accelerator(), upstream.model(), new LayerRange(upstream.firstLayer(), upstream.endLayer()),
 				known.flatMap(EngineState::load), known.map(EngineState::loadNanos).orElse(0L),
 				known.map(EngineState::outstanding).orElse(0), known.map(EngineState::suspected).orElse(false),
-				upstream.leaving());
+				this.leaving.leaving(upstream.name()),
+				known.map(EngineState::estimate).orElseGet(() -> estimateFor(upstream)));
+	}
+
+	/**
+	 * Returns what engines of the same kind, and best in the same data centre, suggest
+	 * about a new one.
+	 * @param upstream the new engine
+	 * @return the estimate to start with
+	 */
+	private EngineEstimate estimateFor(UpstreamObject upstream) {
+		return this.engines.values()
+			.stream()
+			.filter((engine) -> engine.accelerator().equals(upstream.accelerator()))
+			.filter((engine) -> engine.estimate().stepTimes().reports() > 0)
+			.max(Comparator.comparing((EngineState engine) -> engine.dataCentre().equals(upstream.dataCentre()))
+				.thenComparing(EngineState::name))
+			.map((engine) -> engine.estimate().forNewEngine())
+			.orElseGet(EngineEstimate::initial);
+	}
+
+	/**
+	 * Takes over measured steps. Samples of unknown engines are ignored.
+	 * @param samples the samples by engine, not null
+	 */
+	public void observe(Map<String, StepSample> samples) {
+		samples.forEach((engine, sample) -> {
+			if (sample.load().leaving()) {
+				this.leaving.left(engine);
+			}
+			this.engines.computeIfPresent(engine, (name, state) -> state.withSample(sample));
+		});
+	}
+
+	/**
+	 * Takes over what is known about leaving engines by now.
+	 */
+	public void refreshLeaving() {
+		this.engines.replaceAll((name, state) -> state.withLeaving(this.leaving.leaving(name)));
 	}
 
 	/**
@@ -64,9 +118,19 @@
 
 	private void changeOutstanding(Stage stage, int change) {
 		this.engines.computeIfPresent(stage.engine(),
+				(name, state) -> state.withOutstanding(Math.max(0, state.outstanding() + change)));
+	}
+
+	/**
+	 * Notes whether an engine is suspected to have failed.
+	 * @param engine the name of the engine, not null; ignored if it is not known
+	 * @param suspected whether it gets no new work
+	 */
+	public void suspect(String engine, boolean suspected) {
+		this.engines.computeIfPresent(engine,
 				(name, state) -> new EngineState(name, state.address(), state.dataCentre(), state.accelerator(),
-						state.model(), state.layers(), state.load(), state.loadNanos(),
-						Math.max(0, state.outstanding() + change), state.suspected(), state.leaving()));
+						state.model(), state.layers(), state.load(), state.loadNanos(), state.outstanding(), suspected,
+						state.leaving()));
 	}
 
 	/**
--- a/mulberrycross/src/main/java/org/mulberrycross/router/ControlSnapshot.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/ControlSnapshot.java
@@ -1,6 +1,7 @@
 package org.mulberrycross.router;
 
 import java.util.Objects;
+import java.util.Set;
 
 import org.mulberrycross.engine.EngineView;
 import org.mulberrycross.operator.Configuration;
@@ -10,19 +11,22 @@
  *
  * @param configuration the configuration in force, not null
  * @param engines the engines, not null
+ * @param leaving the names of the upstreams that get no new work, not null
  * @param draining whether the daemon is shutting down
  */
-public record ControlSnapshot(Configuration configuration, EngineView engines, boolean draining) {
+public record ControlSnapshot(Configuration configuration, EngineView engines, Set<String> leaving, boolean draining) {
 
 	/**
 	 * Creates a snapshot.
 	 * @param configuration the configuration in force, not null
 	 * @param engines the engines, not null
+	 * @param leaving the names of the upstreams that get no new work, not null
 	 * @param draining whether the daemon is shutting down
 	 */
 	public ControlSnapshot {
 		Objects.requireNonNull(configuration, "configuration");
 		Objects.requireNonNull(engines, "engines");
+		leaving = Set.copyOf(leaving);
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/ObjectLeaseStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/ObjectLeaseStore.java
@@ -17,7 +17,8 @@
  */
 public final class ObjectLeaseStore implements LeaseStore {
 
-	private static final String PREFIX = "lease/";
+	/** Keeps an engine's name apart from other leases, such as the publisher's. */
+	private static final String PREFIX = "lease/orders-";
 
 	private final ObjectStore store;
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/ServiceRuntime.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/ServiceRuntime.java
@@ -71,7 +71,8 @@
 
 	private final ServiceHandler handler;
 
-	ServiceRuntime(Supplier<Configuration> configuration, HttpClient client, RouterSettings settings) {
+	ServiceRuntime(Supplier<ControlSnapshot> snapshot, HttpClient client, RouterSettings settings) {
+		Supplier<Configuration> configuration = () -> snapshot.get().configuration();
 		this.calls = new ThreadPoolExecutor(CALL_THREADS, CALL_THREADS, 30, TimeUnit.SECONDS,
 				new ArrayBlockingQueue<>(MAX_WAITING_CALLS), (task) -> thread(task, "service-call"));
 		this.calls.allowCoreThreadTimeOut(true);
@@ -79,7 +80,8 @@
 		this.ledger = new IntentLedger(
 				new ObjectIntentStore(new HttpObjectStore(client, settings.platform(), settings.platformTimeout())),
 				RETENTION);
-		ServiceDirectory directory = new ServiceDirectory(configuration);
+		ServiceDirectory directory = new ServiceDirectory(configuration,
+				(upstream) -> snapshot.get().leaving().contains(upstream));
 		this.caller = new ServiceCaller(directory, new HttpServiceClient(client, PROBE_TIMEOUT, CALL_TIMEOUT),
 				ServicePolicy.uniform(), this.ledger,
 				new CallProtocol(new CallProtocol.Limits(MAX_CLAIM_AGE, IN_PROGRESS, MAX_STORED_BODY_BYTES)),
--- a/mulberrycross/src/test/java/org/mulberrycross/caller/http/ServiceHandlerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/caller/http/ServiceHandlerTest.java
@@ -126,8 +126,10 @@
 	private static HttpReply send(Configuration configuration, ServiceGateway gateway, Executor calls, String method,
 			String path, Map<String, String> headers) throws Exception {
 		try (HttpListener listener = new HttpListener("127.0.0.1", 0, 2); HttpClient client = new HttpClient(1)) {
-			listener.route(new ServiceHandler(() -> configuration, new ServiceDirectory(() -> configuration), gateway,
-					calls, 1024), ServiceHandler.PATHS);
+			listener.route(
+					new ServiceHandler(() -> configuration,
+							new ServiceDirectory(() -> configuration, (upstream) -> false), gateway, calls, 1024),
+					ServiceHandler.PATHS);
 			listener.start();
 			return client.send(new HttpCall(Step.CALL_SERVICE, new Peer(Peer.Kind.CALLER, ""),
 					new Address("127.0.0.1", listener.port()), method, path, headers, new byte[0],
--- a/mulberrycross/src/test/java/org/mulberrycross/service/ServiceCallerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/service/ServiceCallerTest.java
@@ -85,8 +85,8 @@
 			return next.next();
 		};
 		Random random = new Random(1);
-		return new ServiceCaller(new ServiceDirectory(() -> configuration), client, ServicePolicy.uniform(),
-				new IntentLedger(this.store, Duration.ofHours(1)),
+		return new ServiceCaller(new ServiceDirectory(() -> configuration, (upstream) -> false), client,
+				ServicePolicy.uniform(), new IntentLedger(this.store, Duration.ofHours(1)),
 				new CallProtocol(new CallProtocol.Limits(Duration.ofSeconds(30), Duration.ofSeconds(45), 64)),
 				new ServiceCaller.Sources(() -> "token-" + this.tokens.getAndIncrement(), () -> random, () -> 0,
 						() -> Instant.EPOCH));
