--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineStandin.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineStandin.java
@@ -38,7 +38,7 @@
 
 	private final int modelLayers;
 
-	private volatile String version;
+	private String version;
 
 	private final int batchLimit;
 
@@ -97,11 +97,17 @@
 	}
 
 	/**
-	 * Changes the model version that is served from the next step on.
+	 * Changes the model version that is served from the next step on. Caches of another
+	 * version are dropped.
 	 * @param served the version, not null
 	 */
 	public void serve(String served) {
-		this.version = served;
+		synchronized (this.caches) {
+			if (!served.equals(this.version)) {
+				this.version = served;
+				this.caches.clear();
+			}
+		}
 	}
 
 	private void runBatches() {
@@ -229,7 +235,7 @@
 		for (int i = 0; i < output.length; i++) {
 			long value = request.input()[i];
 			for (int layer = request.layers().first(); layer < request.layers().end(); layer++) {
-				value = ReferenceModel.layer(layer, request.version(), value, cache.state(),
+				value = ReferenceModel.layer(layer, this.version, value, cache.state(),
 						layer - request.layers().first());
 			}
 			output[i] = value;
@@ -240,8 +246,8 @@
 			output = new long[] { token };
 			text = ReferenceModel.text(token);
 		}
-		return new StepReply(request.stream(), request.attempt(), request.version(), request.layers(),
-				request.position(), request.input().length, output, text, load());
+		return new StepReply(request.stream(), request.attempt(), this.version, request.layers(), request.position(),
+				request.input().length, output, text, load());
 	}
 
 	@Override
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/StreamCaches.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/StreamCaches.java
@@ -38,6 +38,11 @@
 		Optional.ofNullable(this.caches.remove(stream)).ifPresent((removed) -> this.bytes -= removed.bytes());
 	}
 
+	void clear() {
+		this.caches.clear();
+		this.bytes = 0;
+	}
+
 	/**
 	 * Drops what is idle or over the limit.
 	 * @param now the time in nanoseconds
--- a/mulberrycross-standins/src/test/java/org/mulberrycross/standins/engine/OrderHandlerTest.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/standins/engine/OrderHandlerTest.java
@@ -20,6 +20,8 @@
 import org.mulberrycross.engine.EngineReport;
 import org.mulberrycross.engine.EngineRole;
 import org.mulberrycross.engine.EngineSetup;
+import org.mulberrycross.engine.KvCache;
+import org.mulberrycross.engine.LayerRange;
 import org.mulberrycross.engine.LeaseWriter;
 import org.mulberrycross.engine.LeasedOrders;
 import org.mulberrycross.engine.OrderLease;
@@ -106,6 +108,19 @@
 		}
 	}
 
+	/** Fails if a cache of the old version is exported as one of the new version. */
+	@Test
+	void newVersionDropsCaches() {
+		try (EngineStandin engine = new EngineStandin(new LayerRange(0, 1), 1, "v1", 1, 0)) {
+			KvCache cache = new KvCache("stream", 1, "v1", new LayerRange(0, 1), 1, new byte[Long.BYTES]);
+			assertThat(engine.importCache(cache)).isTrue();
+			engine.serve("v1");
+			assertThat(engine.exportCache("stream").isPresent()).isTrue();
+			engine.serve("v2");
+			assertThat(engine.exportCache("stream").isPresent()).isFalse();
+		}
+	}
+
 	private static LeasedOrders orders(String holder, ObjectTable table, HttpClient http, AtomicLong seconds) {
 		HttpOrderClient client = new HttpOrderClient(http);
 		MonotonicClock clock = () -> TimeUnit.SECONDS.toNanos(seconds.get());
