--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineStandin.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/engine/EngineStandin.java
@@ -38,7 +38,7 @@
 
 	private final int modelLayers;
 
-	private final String version;
+	private String version;
 
 	private final int batchLimit;
 
@@ -96,6 +96,20 @@
 		return new EngineLoad(this.running, this.queue.size(), this.batchLimit, this.stepMicros, this.leaving);
 	}
 
+	/**
+	 * Changes the model version that is served from the next step on. Caches of another
+	 * version are dropped.
+	 * @param served the version, not null
+	 */
+	public void serve(String served) {
+		synchronized (this.caches) {
+			if (!served.equals(this.version)) {
+				this.version = served;
+				this.caches.clear();
+			}
+		}
+	}
+
 	private void runBatches() {
 		List<Pending> batch = new ArrayList<>();
 		while (!this.closed) {
