Dispatch requests to handlers by their exact path

Cause: Grizzly's mapping gave /v1/step to the handler of /v1/orders once an engine stand-in served both, so every step was answered with status 400. Seen in a rolling restart: 465 of 465 requests refused. Ruled out: an old library in the class path, the encoding of steps. After: handlers are looked up by exact path or by prefix, and an unknown path gets 404. HttpListenerTest fails without the change.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpListener.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpListener.java
@@ -28,6 +28,8 @@
 
 	private final ExchangeCounter exchanges = new ExchangeCounter();
 
+	private final PathDispatcher dispatcher = new PathDispatcher();
+
 	private final CountDownLatch closed = new CountDownLatch(1);
 
 	/**
@@ -52,11 +54,13 @@
 	/**
 	 * Adds a handler.
 	 * @param handler the handler, not null
-	 * @param paths the paths that it serves, such as {@code /v1/step} or
-	 * {@code /objects/*}
+	 * @param paths the paths that it serves, such as {@code /v1/step}; one that ends in
+	 * {@code /*} stands for all paths below it
 	 */
 	public void route(HttpHandler handler, String... paths) {
-		this.server.getServerConfiguration().addHttpHandler(this.exchanges.counted(handler), paths);
+		for (String path : paths) {
+			this.dispatcher.add(path, handler);
+		}
 	}
 
 	/**
@@ -64,6 +68,7 @@
 	 * @throws IOException if the address cannot be bound
 	 */
 	public void start() throws IOException {
+		this.server.getServerConfiguration().addHttpHandler(this.exchanges.counted(this.dispatcher), "/");
 		this.server.start();
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/http/HttpListenerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/HttpListenerTest.java
@@ -102,6 +102,30 @@
 		}
 	}
 
+	/**
+	 * Fails if a request reaches the handler of another path. Engines answered
+	 * {@code /v1/step} with the handler of {@code /v1/orders} when both were served.
+	 */
+	@Test
+	void requestsReachTheHandlerOfTheirPath() throws Exception {
+		try (HttpListener listener = new HttpListener("127.0.0.1", 0, 2); HttpClient client = new HttpClient(1)) {
+			listener.route(handler((request, response) -> HttpMessages.reply(response, 200, "orders")), "/v1/orders");
+			listener.route(handler((request, response) -> HttpMessages.reply(response, 200, "below")), "/v1/x/*");
+			listener.start();
+			assertThat(text(get(client, listener, "/v1/orders"))).isEqualTo("\"orders\"");
+			assertThat(text(get(client, listener, "/v1/x/a/b"))).isEqualTo("\"below\"");
+			assertThat(get(client, listener, "/v1/step").status()).isEqualTo(404);
+			assertThat(get(client, listener, "/").status()).isEqualTo(404);
+			listener.route(handler((request, response) -> HttpMessages.reply(response, 200, "rest")), "/");
+			assertThat(text(get(client, listener, "/v1/step"))).isEqualTo("\"rest\"");
+			assertThat(text(get(client, listener, "/v1/orders"))).isEqualTo("\"orders\"");
+		}
+	}
+
+	private static String text(HttpReply reply) {
+		return new String(reply.body(), StandardCharsets.UTF_8);
+	}
+
 	private static boolean drain(HttpListener listener) {
 		return drain(listener, Duration.ZERO);
 	}
@@ -131,16 +155,20 @@
 
 	private static HttpListener listener(Service service) throws IOException {
 		HttpListener listener = new HttpListener("127.0.0.1", 0, 4);
-		listener.route(new HttpHandler() {
+		listener.route(handler(service), "/");
+		listener.start();
+		return listener;
+	}
+
+	private static HttpHandler handler(Service service) {
+		return new HttpHandler() {
 
 			@Override
 			public void service(Request request, Response response) throws Exception {
 				service.serve(request, response);
 			}
 
-		}, "/");
-		listener.start();
-		return listener;
+		};
 	}
 
 	/**
