--- a/bin/local.sh
+++ b/bin/local.sh
@@ -5,6 +5,7 @@
 RUN_DIR="${RUN_DIR:-run}"
 PIDS=()
 mkdir -p "$RUN_DIR"
+rm -f "$RUN_DIR"/*.log
 
 # start NAME CLASSPATH CLASS ARGUMENTS: starts a process and sets LAST_PID. Only daemons use the optimising compiler:
 # compiling in every stand-in at once kept 10 cores busy for the first half minute of a run.
@@ -13,7 +14,7 @@
   shift 3
   local tier=1
   [ "$classpath" = "$DAEMON" ] && tier=4
-  java -Xmx256m -XX:+UseSerialGC "-XX:TieredStopAtLevel=$tier" -cp "$classpath" "$class" "$@" >"$RUN_DIR/$name.log" 2>&1 &
+  java -Xmx256m -XX:+UseSerialGC "-XX:TieredStopAtLevel=$tier" -cp "$classpath" "$class" "$@" >>"$RUN_DIR/$name.log" 2>&1 &
   LAST_PID=$!
   PIDS+=("$LAST_PID")
 }
--- a/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/OperatorMain.java
+++ b/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/OperatorMain.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -11,6 +12,7 @@
 import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -22,6 +24,8 @@
 import org.mulberrycross.Address;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.http.HttpClient;
+import org.mulberrycross.http.Json;
+import org.mulberrycross.operator.BurnReport;
 import org.mulberrycross.operator.Configuration;
 import org.mulberrycross.operator.ConfigurationValidator;
 import org.mulberrycross.operator.Fault;
@@ -29,6 +33,8 @@
 import org.mulberrycross.operator.ObjectStatus;
 import org.mulberrycross.operator.OperatorObject;
 import org.mulberrycross.operator.StatusReport;
+import org.mulberrycross.operator.http.BurnPages;
+import org.mulberrycross.operator.http.BurnReportReader;
 import org.mulberrycross.operator.json.ObjectCodec;
 import org.mulberrycross.platform.ConfigurationCodec;
 import org.mulberrycross.platform.ObjectStore;
@@ -38,8 +44,8 @@
 import org.mulberrycross.platform.http.JsonConfigurationCodec;
 
 /**
- * Command line for operators. It edits objects in the object API and reads their status;
- * it never talks to a daemon. Not thread-safe.
+ * Command line for operators. It edits objects in the object API, and reads their status
+ * and the daemons' burn reports; it never commands a daemon. Not thread-safe.
  */
 public final class OperatorMain {
 
@@ -52,7 +58,8 @@
 			"  validate FILE...    check the objects in JSON files, with --platform together with the stored objects",
 			"  apply FILE...       create or replace the objects in JSON files", "  delete KIND/NAME... delete objects",
 			"  list [KIND]         print the keys and versions of objects",
-			"  status [KIND/NAME]  print which versions are accepted, pending or rejected, with faults");
+			"  status [KIND/NAME]  print which versions are accepted, pending or rejected, with faults",
+			"  report FORMAT HOST:PORT...  print the burn of error budgets over the daemons as text, json or html");
 
 	private static final int DEFAULT_TIMEOUT_MILLIS = 5000;
 
@@ -124,6 +131,9 @@
 		if (command.equals("validate") && !line.hasOption("platform")) {
 			return report(ConfigurationValidator.validate(Configuration.of(0, objects)));
 		}
+		if (command.equals("report")) {
+			return burnReport(arguments, Duration.ofMillis(timeoutMillis(line)));
+		}
 		if (!line.hasOption("platform")) {
 			throw new ParseException(command + " requires --platform");
 		}
@@ -143,6 +153,24 @@
 		}
 	}
 
+	private int burnReport(List<String> arguments, Duration timeout) throws PeerException, IOException, ParseException {
+		if (arguments.size() < 2) {
+			throw new ParseException("report requires a format and the addresses of all daemons");
+		}
+		Function<BurnReport, String> format = switch (arguments.get(0)) {
+			case "text" -> BurnPages::text;
+			case "html" -> BurnPages::html;
+			case "json" -> (report) -> new String(Json.encode(report), StandardCharsets.UTF_8);
+			default ->
+				throw new ParseException("report format is '" + arguments.get(0) + "', allowed: text, json, html");
+		};
+		List<Address> daemons = arguments.stream().skip(1).map(Address::parse).toList();
+		try (HttpClient client = new HttpClient(1)) {
+			this.out.println(format.apply(new BurnReportReader(client, timeout).read(daemons)));
+			return 0;
+		}
+	}
+
 	private static void checkArguments(String command, List<String> arguments) throws ParseException {
 		for (String argument : arguments) {
 			switch (command) {
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/load/OverheadMain.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/load/OverheadMain.java
@@ -77,7 +77,7 @@
 				direct.reset();
 				routed.reset();
 			}
-			direct(direct, "direct-" + i);
+			direct(direct, "direct-" + System.nanoTime());
 			routed(routed);
 		}
 		System.out.printf(Locale.ROOT, "%-24s %10s %10s %10s%n", "microseconds", "p50", "p95", "p99");
