--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
@@ -132,6 +133,11 @@
 		this.listener.route(this.services.handler(), ServiceHandler.PATHS);
 		this.listener.route(new HealthHandler(this.control::snapshot, joined(clock)), HealthHandler.HEALTH_PATH,
 				HealthHandler.READY_PATH);
+		this.metrics.gauge("configuration.generation", () -> () -> configuration().generation());
+		this.metrics.gauge("engines.known", () -> () -> engines().size());
+		this.metrics.gauge("engines.available", () -> () -> engines().stream().filter(EngineState::available).count());
+		this.metrics.gauge("streams.on_engines",
+				() -> () -> engines().stream().mapToInt(EngineState::outstanding).sum());
 		this.listener.route(new MetricsHandler(this.metrics), MetricsHandler.PATH);
 		this.listener.route(new BurnHandler(() -> this.control.burnReport().join()), BurnHandler.PATH);
 		ObjectStore store = new HttpObjectStore(this.client, settings.platform(), settings.platformTimeout());
@@ -188,6 +194,10 @@
 						(request, limitShare) -> this.control.reserve(request, limitShare)));
 	}
 
+	private List<EngineState> engines() {
+		return this.control.snapshot().engines().engines();
+	}
+
 	private Configuration configuration() {
 		return this.control.snapshot().configuration();
 	}
