--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/load/RecoveryMain.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/load/RecoveryMain.java
@@ -170,8 +170,8 @@
 		}
 
 		// The second token of the gap lies in the period. After a loss this covers
-		// streams
-		// that got one more token from work that had already passed the lost engine.
+		// streams that got one more token from work that had already passed the lost
+		// engine.
 		long longestGap(long after, long until) {
 			long longest = 0;
 			for (int i = 1; i < this.nanos.size(); i++) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/Router.java
@@ -229,8 +229,7 @@
 	}
 
 	// Cancelling is best effort, since engines drop idle streams by themselves. Calls
-	// that
-	// find the queue full are left out.
+	// that find the queue full are left out.
 	private static ExecutorService cancelThreads() {
 		ThreadPoolExecutor executor = new ThreadPoolExecutor(CANCEL_THREADS, CANCEL_THREADS, 30, TimeUnit.SECONDS,
 				new LinkedBlockingQueue<>(CANCEL_QUEUE_LIMIT), new ThreadPoolExecutor.DiscardPolicy());
--- a/mulberrycross/src/main/java/org/mulberrycross/service/CallProtocol.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/service/CallProtocol.java
@@ -102,10 +102,10 @@
 	}
 
 	private Transition<CallState, CallAction> own(CallState state, long version, Now now) {
-		// A daemon that was paused could create its record after the record of an earlier
-		// attempt, which has run, reached the end of its retention. The monotonic clock
-		// may
-		// stand still while an instance is suspended, so both clocks are asked.
+		// A daemon that was paused could create its record after the record of an
+		// earlier attempt, which has run, reached the end of its retention. The
+		// monotonic clock may stand still while an instance is suspended, so both clocks
+		// are asked.
 		boolean late = now.nanos() - state.startNanos() > this.limits.maxClaimAge().toNanos()
 				|| now.millis() - state.claim().changedMillis() > this.limits.maxClaimAge().toMillis();
 		if (late) {
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/ShareOwner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/ShareOwner.java
@@ -153,8 +153,7 @@
 	}
 
 	// A team's limit may be lent freely one lease time after this daemon last started,
-	// and
-	// after the last view in which another daemon owned the team.
+	// and after the last view in which another daemon owned the team.
 	private long openNanos(String team) {
 		long open = this.startNanos + this.leaseNanos;
 		for (View view : this.views) {
