Keep what is known about an engine while it is suspected

Cause: EngineTable.suspect built the state with the constructor that starts a new estimate, so that one wrong suspicion lost the learnt step and link times and the stream limit. Ruled out: a wanted reset, since the estimate is meant to outlive configurations. Before: EngineEstimateTest.suspicionKeepsWhatIsKnown fails. After: 552 tests pass. The operators' command line now calls LogSetup.bridge in place of its own copy.

--- a/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/OperatorMain.java
+++ b/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/OperatorMain.java
@@ -19,7 +19,6 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import org.slf4j.bridge.SLF4JBridgeHandler;
 
 import org.mulberrycross.Address;
 import org.mulberrycross.PeerException;
@@ -81,8 +80,7 @@
 	 * @param arguments see the usage
 	 */
 	public static void main(String[] arguments) {
-		SLF4JBridgeHandler.removeHandlersForRootLogger();
-		SLF4JBridgeHandler.install();
+		LogSetup.bridge();
 		System.exit(run(arguments, System.out, System.err));
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineState.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineState.java
@@ -112,6 +112,11 @@
 				this.leaving || sample.load().leaving(), this.estimate.learn(sample, this.outstanding));
 	}
 
+	EngineState withSuspected(boolean changed) {
+		return new EngineState(this.name, this.address, this.dataCentre, this.accelerator, this.model, this.layers,
+				this.load, this.loadNanos, this.outstanding, changed, this.leaving, this.estimate);
+	}
+
 	EngineState withLeaving(boolean changed) {
 		return new EngineState(this.name, this.address, this.dataCentre, this.accelerator, this.model, this.layers,
 				this.load, this.loadNanos, this.outstanding, this.suspected, changed, this.estimate);
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineTable.java
@@ -127,10 +127,7 @@
 	 * @param suspected whether it gets no new work
 	 */
 	public void suspect(String engine, boolean suspected) {
-		this.engines.computeIfPresent(engine,
-				(name, state) -> new EngineState(name, state.address(), state.dataCentre(), state.accelerator(),
-						state.model(), state.layers(), state.load(), state.loadNanos(), state.outstanding(), suspected,
-						state.leaving()));
+		this.engines.computeIfPresent(engine, (name, state) -> state.withSuspected(suspected));
 	}
 
 	/**
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/EngineEstimateTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/EngineEstimateTest.java
@@ -87,6 +87,21 @@
 		assertThat(collector.take()).isEmpty();
 	}
 
+	/** Fails if an engine that was suspected by mistake has to be learnt again. */
+	@Test
+	void suspicionKeepsWhatIsKnown() {
+		EngineTable table = new EngineTable(new LeavingUpstreams());
+		table.configure(
+				Configuration.of(1, List.of(UpstreamObject.engine("e1", "127.0.0.1:1", "d", "fast", "m", 0, 8))));
+		table.observe(Map.of("e1", sample(8, 0)));
+		EngineEstimate learnt = table.view(0).engine("e1").orElseThrow().estimate();
+		table.suspect("e1", true);
+		assertThat(table.view(0).engine("e1").orElseThrow().available()).isFalse();
+		table.suspect("e1", false);
+		assertThat(table.view(0).engine("e1").orElseThrow().available()).isTrue();
+		assertThat(table.view(0).engine("e1").orElseThrow().estimate()).isEqualTo(learnt);
+	}
+
 	/** Fails if a report is not applied, or a similar new engine starts from nothing. */
 	@Test
 	void tableAppliesSamplesAndNewEnginesLearnFromSimilarOnes() {
