Serve the users' platform: relay, placement and an adapter in platform/

Built: a relay over Grizzly without a thread for each exchange, a route and key table, followers of the store's configuration and upstream list, placement of layers under a lease, paths by expected time, resumed streams, an adapter module with the wire names, a deploy file with a settings template.

--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayClient.java
@@ -0,0 +1,74 @@
+package org.mulberrycross.http;
+
+import java.io.IOException;
+import java.util.Objects;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+import org.mulberrycross.Address;
+
+/**
+ * HTTP client for requests that are relayed: hands over each part of a response as it
+ * arrives, without a thread for each exchange. Every request has a connection of its own,
+ * so that bytes left over from another response can never reach it. Thread-safe.
+ */
+public final class RelayClient implements AutoCloseable {
+
+	private final TCPNIOTransport transport;
+
+	private final TCPNIOConnectorHandler connector;
+
+	/**
+	 * Starts a client.
+	 * @throws IOException if the transport cannot be started
+	 */
+	public RelayClient() throws IOException {
+		this.transport = TCPNIOTransportBuilder.newInstance()
+			.setIOStrategy(SameThreadIOStrategy.getInstance())
+			.setTcpNoDelay(true)
+			.setSelectorRunnersCount(1)
+			.build();
+		this.transport.setProcessor(FilterChainBuilder.stateless()
+			.add(new ResetAwareTransportFilter())
+			.add(new HttpClientFilter())
+			.add(new RelayClientFilter())
+			.build());
+		this.transport.start();
+		this.connector = TCPNIOConnectorHandler.builder(this.transport).build();
+	}
+
+	/**
+	 * Sends a request on a new connection. Returns at once.
+	 * @param address where to send it, not null
+	 * @param request the request, not null
+	 * @param listener receives the response, not null
+	 * @return the exchange, which can be cancelled
+	 */
+	public RelayCall send(Address address, RelayRequest request, ResponseListener listener) {
+		Objects.requireNonNull(address, "address");
+		RelayCall call = new RelayCall(request, listener);
+		this.connector.connect(address.socketAddress(), call.connected());
+		return call;
+	}
+
+	static void attach(Connection<?> connection, RelayCall call) {
+		RelayClientFilter.CALLS.set(connection, call);
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.transport.shutdownNow();
+		}
+		catch (IOException ex) {
+			// The sockets end with the process; nothing waits for them.
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/HangupSignal.java
@@ -0,0 +1,46 @@
+package org.mulberrycross.router.relay;
+
+import java.lang.reflect.Proxy;
+import java.util.Objects;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Handles SIGHUP, which would end the process otherwise. Thread-safe.
+ */
+final class HangupSignal {
+
+	private static final Logger logger = LoggerFactory.getLogger(HangupSignal.class);
+
+	private HangupSignal() {
+	}
+
+	/**
+	 * Runs an action at each signal from now on.
+	 * @param action the action, not null; must not block
+	 */
+	static void handle(Runnable action) {
+		Objects.requireNonNull(action, "action");
+		try {
+			// The class is not part of the Java API, and a direct use is a compiler
+			// warning.
+			Class<?> signal = Class.forName("sun.misc.Signal");
+			Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
+			Object handler = Proxy.newProxyInstance(HangupSignal.class.getClassLoader(), new Class<?>[] { handlerType },
+					(proxy, method, arguments) -> {
+						if (method.getDeclaringClass() == Object.class) {
+							return method.invoke(action, arguments);
+						}
+						action.run();
+						return null;
+					});
+			signal.getMethod("handle", signal, handlerType)
+				.invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handler);
+		}
+		catch (ReflectiveOperationException ex) {
+			logger.warn("SIGHUP cannot be handled, so it ends this process", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/MetricsText.java
@@ -0,0 +1,33 @@
+package org.mulberrycross.router.relay;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+
+/**
+ * Writes metrics as text, one value a line. Thread-safe.
+ */
+final class MetricsText {
+
+	private static final double NANOS_PER_MILLI = 1e6;
+
+	private MetricsText() {
+	}
+
+	static String of(MetricRegistry registry) {
+		StringBuilder text = new StringBuilder();
+		registry.getCounters().forEach((name, counter) -> line(text, name, counter.getCount()));
+		registry.getTimers().forEach((name, timer) -> {
+			Snapshot snapshot = timer.getSnapshot();
+			line(text, name + ".count", timer.getCount());
+			line(text, name + ".p50_ms", snapshot.getMedian() / NANOS_PER_MILLI);
+			line(text, name + ".p95_ms", snapshot.get95thPercentile() / NANOS_PER_MILLI);
+			line(text, name + ".p99_ms", snapshot.get99thPercentile() / NANOS_PER_MILLI);
+		});
+		return text.toString();
+	}
+
+	private static void line(StringBuilder text, String name, Object value) {
+		text.append(name).append(' ').append(value).append('\n');
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
@@ -0,0 +1,58 @@
+package org.mulberrycross.router.relay;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.router.SettingsException;
+import org.mulberrycross.router.SettingsFile;
+
+/**
+ * Reads the TOML settings of a relaying daemon. Thread-safe.
+ */
+public final class RelaySettingsReader {
+
+	private static final int DEFAULT_REVOCATION_MILLIS = 5000;
+
+	private static final int DEFAULT_STOP_GRACE_SECONDS = 8;
+
+	private static final int MAX_STOP_GRACE_SECONDS = 3600;
+
+	private static final double DEFAULT_RETRY_RATIO = 0.1;
+
+	private static final double DEFAULT_RETRY_BURST = 100;
+
+	private static final double MAX_RETRY_BURST = 1e6;
+
+	private RelaySettingsReader() {
+	}
+
+	/**
+	 * Reads a settings file.
+	 * @param path the path of the file, not null
+	 * @return the settings
+	 * @throws SettingsException if the file cannot be read, is not TOML, or has unknown
+	 * keys, wrong types or values out of range
+	 */
+	public static RelaySettings read(Path path) throws SettingsException {
+		return parse(SettingsFile.read(path));
+	}
+
+	static RelaySettings parse(SettingsFile file) throws SettingsException {
+		Optional<String> name = file.text("instance.name");
+		Optional<String> dataCentre = file.text("instance.data_centre");
+		Optional<Address> callers = file.address("listen.callers");
+		Optional<Address> readiness = file.address("listen.readiness");
+		Optional<Address> platform = file.address("platform.address");
+		Duration revocation = file.millis("bounds.revocation_ms", DEFAULT_REVOCATION_MILLIS);
+		double grace = file.decimal("bounds.stop_grace_s", DEFAULT_STOP_GRACE_SECONDS, 1, MAX_STOP_GRACE_SECONDS);
+		double ratio = file.decimal("bounds.retry_ratio", DEFAULT_RETRY_RATIO, 0, 1);
+		double burst = file.decimal("bounds.retry_burst", DEFAULT_RETRY_BURST, 0, MAX_RETRY_BURST);
+		file.finish();
+		return new RelaySettings(name.orElseThrow(), dataCentre.orElseThrow(), callers.orElseThrow(),
+				readiness.orElseThrow(), platform.orElseThrow(), revocation, Duration.ofMillis((long) (grace * 1000)),
+				ratio, burst);
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
@@ -0,0 +1,63 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the outcomes of requests say of upstreams. An upstream that fails is avoided for a
+ * while, twice as long with each failure in a row, and is then tried again. Owned by the
+ * control thread; not thread-safe.
+ */
+final class UpstreamHealth {
+
+	private static final Logger logger = LoggerFactory.getLogger(UpstreamHealth.class);
+
+	/**
+	 * First time of avoidance: about a round of requests of one daemon to a small
+	 * service.
+	 */
+	private static final Duration FIRST_AVOIDANCE = Duration.ofMillis(1000);
+
+	/** Longest time of avoidance; an upstream that recovers is in use again after it. */
+	private static final Duration LONGEST_AVOIDANCE = Duration.ofSeconds(4);
+
+	private final Map<String, Avoidance> avoided = new HashMap<>();
+
+	void failed(String id, String reason, long nowNanos) {
+		Avoidance before = this.avoided.getOrDefault(id, new Avoidance(nowNanos, Duration.ZERO));
+		if (nowNanos < before.untilNanos()) {
+			return;
+		}
+		Duration time = before.length().isZero() ? FIRST_AVOIDANCE : before.length().multipliedBy(2);
+		if (time.compareTo(LONGEST_AVOIDANCE) > 0) {
+			time = LONGEST_AVOIDANCE;
+		}
+		this.avoided.put(id, new Avoidance(nowNanos + time.toNanos(), time));
+		logger.atInfo()
+			.addKeyValue("upstream", id)
+			.addKeyValue("reason", reason)
+			.addKeyValue("for_ms", time.toMillis())
+			.log("upstream avoided");
+	}
+
+	void succeeded(String id) {
+		this.avoided.remove(id);
+	}
+
+	boolean avoided(String id, long nowNanos) {
+		Avoidance avoidance = this.avoided.get(id);
+		return avoidance != null && nowNanos < avoidance.untilNanos();
+	}
+
+	/**
+	 * A time in which an upstream gets no requests.
+	 */
+	private record Avoidance(long untilNanos, Duration length) {
+
+	}
+
+}
--- a/mulberrycross/src/main/java/org/mulberrycross/service/ServiceCaller.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/service/ServiceCaller.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 
 import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.RetryBudget;
 import org.mulberrycross.Transition;
 import org.mulberrycross.operator.UpstreamObject;
 
@@ -20,6 +21,12 @@
  */
 public final class ServiceCaller implements ServiceGateway {
 
+	/** Bounds retries to a tenth of the calls, so that they do not multiply the load. */
+	private static final double RETRIES_PER_CALL = 0.1;
+
+	/** Retries that can be saved up for a burst of failures. */
+	private static final int MAX_SAVED_RETRIES = 20;
+
 	private static final int MAX_ATTEMPTS = 3;
 
 	private final ServiceDirectory directory;
@@ -32,7 +39,7 @@
 
 	private final CallProtocol protocol;
 
-	private final RetryBudget budget = new RetryBudget();
+	private final RetryBudget budget = new RetryBudget(RETRIES_PER_CALL, MAX_SAVED_RETRIES);
 
 	private final Supplier<String> tokens;
 
@@ -67,7 +74,7 @@
 	@Override
 	public CallAnswer call(ServiceCall call, boolean idempotent) {
 		Objects.requireNonNull(call, "call");
-		this.budget.called();
+		this.budget.earned();
 		if (idempotent) {
 			return new CallAnswer(CallAnswer.Kind.ATTEMPTED, send(call, false));
 		}
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/EngineEstimateTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/EngineEstimateTest.java
@@ -10,6 +10,7 @@
 
 import org.mulberrycross.Address;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.RetryBudget;
 import org.mulberrycross.operator.Configuration;
 import org.mulberrycross.operator.UpstreamObject;
 
@@ -125,7 +126,7 @@
 		assertThat(budget.tryRetry()).isTrue();
 		assertThat(budget.tryRetry()).isFalse();
 		for (int i = 0; i < 11; i++) {
-			budget.succeeded();
+			budget.earned();
 		}
 		assertThat(budget.tryRetry()).isTrue();
 		assertThat(budget.tryRetry()).isFalse();
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
@@ -0,0 +1,179 @@
+package org.mulberrycross.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.mulberrycross.Address;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against answers that are cut but look complete, and against requests that are
+ * changed or mixed up on the way.
+ */
+class RelayTest {
+
+	private static final int WAIT_SECONDS = 10;
+
+	private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+	/** Fails if the second request of a kept connection is lost, or a body is changed. */
+	@Test
+	void servesSeveralRequestsOnOneConnection() throws Exception {
+		int port = freePort();
+		try (RelayServer server = new RelayServer(new Address("127.0.0.1", port), (request, response) -> {
+			response
+				.start(new MessageHead(200, Headers.of(List.of(new HeaderField("X-A", "1"))), OptionalLong.empty()));
+			response.write((request.target() + new String(request.body(), StandardCharsets.UTF_8))
+				.getBytes(StandardCharsets.UTF_8));
+			response.end();
+		})) {
+			server.start();
+			try (Socket socket = new Socket("127.0.0.1", port)) {
+				for (int i = 0; i < 3; i++) {
+					socket.getOutputStream()
+						.write(("POST /a" + i + "?q HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nb" + i)
+							.getBytes(StandardCharsets.UTF_8));
+					assertThat(readUntil(socket, "0\r\n\r\n")).contains("/a" + i + "?qb" + i);
+				}
+			}
+		}
+	}
+
+	/** Fails if work for a client that has left goes on. */
+	@Test
+	void reportsClientThatLeaves() throws Exception {
+		int port = freePort();
+		try (RelayServer server = new RelayServer(new Address("127.0.0.1", port),
+				(request, response) -> response.onClientGone(() -> this.events.add("gone")))) {
+			server.start();
+			try (Socket socket = new Socket("127.0.0.1", port)) {
+				socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+				socket.getOutputStream().flush();
+				Thread.sleep(100);
+			}
+			assertThat(this.events.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("gone");
+		}
+	}
+
+	/** Fails if an aborted response ends with the last chunk. */
+	@Test
+	void abortedResponseLooksCut() throws Exception {
+		int port = freePort();
+		try (RelayServer server = new RelayServer(new Address("127.0.0.1", port), (request, response) -> {
+			response.start(new MessageHead(200, Headers.NONE, OptionalLong.empty()));
+			response.write("part".getBytes(StandardCharsets.UTF_8));
+			response.abort();
+		})) {
+			server.start();
+			try (Socket socket = new Socket("127.0.0.1", port)) {
+				socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+				assertThat(readUntil(socket, "0\r\n\r\n")).doesNotContain("0\r\n\r\n");
+			}
+		}
+	}
+
+	/** Fails if a response that was cut or reset is taken for complete. */
+	@ParameterizedTest
+	@CsvSource({ "'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab', false, end",
+			"'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab', false, failed",
+			"'HTTP/1.1 200 OK\r\n\r\nab', false, end", "'HTTP/1.1 200 OK\r\n\r\nab', true, failed",
+			"'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n', false, failed",
+			"'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n', false, end",
+			"'rubbish\r\n\r\n', false, failed", "'', false, failed" })
+	void tellsCompleteFromCutResponses(String answer, boolean reset, String expected) throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				RelayClient client = new RelayClient()) {
+			Thread peer = new Thread(() -> answer(server, answer, reset));
+			peer.start();
+			client.send(new Address("127.0.0.1", server.getLocalPort()),
+					new RelayRequest("GET", "/", Headers.of(List.of(new HeaderField("Host", "h"))), new byte[0]),
+					new Recorder());
+			String event = this.events.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+			assertThat(event).isEqualTo(expected);
+			peer.join();
+		}
+	}
+
+	private static void answer(ServerSocket server, String answer, boolean reset) {
+		try (Socket socket = server.accept()) {
+			readUntil(socket, "\r\n\r\n");
+			socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+			socket.getOutputStream().flush();
+			Thread.sleep(50);
+			if (reset) {
+				socket.setSoLinger(true, 0);
+			}
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static String readUntil(Socket socket, String end) throws IOException {
+		ByteArrayOutputStream read = new ByteArrayOutputStream();
+		InputStream in = socket.getInputStream();
+		try {
+			for (int next = in.read(); next >= 0; next = in.read()) {
+				read.write(next);
+				if (read.toString(StandardCharsets.UTF_8).endsWith(end)) {
+					break;
+				}
+			}
+		}
+		catch (IOException ex) {
+			read.writeBytes("(reset)".getBytes(StandardCharsets.UTF_8));
+		}
+		return read.toString(StandardCharsets.UTF_8);
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	/**
+	 * Records how a response ends.
+	 */
+	private final class Recorder implements ResponseListener {
+
+		@Override
+		public void sent() {
+		}
+
+		@Override
+		public void head(MessageHead head) {
+		}
+
+		@Override
+		public void data(byte[] part) {
+		}
+
+		@Override
+		public void end() {
+			RelayTest.this.events.add("end");
+		}
+
+		@Override
+		public void failed(String reason) {
+			RelayTest.this.events.add("failed");
+		}
+
+	}
+
+}
--- a/mulberrycross/src/test/java/org/mulberrycross/service/ServiceCallerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/service/ServiceCallerTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import org.mulberrycross.RetryBudget;
 import org.mulberrycross.operator.Configuration;
 import org.mulberrycross.operator.ServiceOperation;
 import org.mulberrycross.operator.UpstreamKind;
@@ -67,10 +68,10 @@
 	/** Fails if retries can exceed a tenth of the calls for long. */
 	@Test
 	void retriesAreBounded() {
-		RetryBudget budget = new RetryBudget();
+		RetryBudget budget = new RetryBudget(0.1, 20);
 		int retries = 0;
 		for (int call = 0; call < 1000; call++) {
-			budget.called();
+			budget.earned();
 			retries += budget.tryRetry() ? 1 : 0;
 		}
 		assertThat(retries).isAtMost(120);
