--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -86,6 +86,8 @@
 
 	private final KindFollower upstreams;
 
+	private final RouterCensus census;
+
 	private final PlacementRunner placement;
 
 	private final AtomicReference<PlacementView> placementView = new AtomicReference<>(
@@ -110,9 +112,13 @@
 		this.readiness = new RelayServer(settings.readiness(), this::answerProbe);
 		this.settingsFollower = new SettingsFollower(source, settings, this.relay::reload);
 		this.configurations = new KindFollower(adapter.store(), adapter.configurationKind(),
-				new ConfigurationListener(adapter.configuration()), this.clock, new SplittableRandom(seeds.nextLong()));
+				new ConfigurationListener(adapter.configuration()), WatchPace.CONFIGURATION, this.clock,
+				new SplittableRandom(seeds.nextLong()));
 		this.upstreams = new KindFollower(adapter.store(), adapter.upstreamKind(),
-				new UpstreamListener(adapter.upstream()), this.clock, new SplittableRandom(seeds.nextLong()));
+				new UpstreamListener(adapter.upstream()), WatchPace.UPSTREAMS, this.clock,
+				new SplittableRandom(seeds.nextLong()));
+		this.census = new RouterCensus(adapter.store(), settings.name(),
+				(count) -> this.control.post(() -> this.relay.routers(count)));
 		this.placement = new PlacementRunner(this.placementView::get,
 				new OrderLease(settings.name(), PlacementRunner.LEASE_TIME),
 				new LeaseWriter(new ObjectLeaseStore(adapter.store()), PlacementRunner.LEASE_NAME),
@@ -135,6 +141,7 @@
 		this.settingsFollower.start();
 		this.configurations.start();
 		this.upstreams.start();
+		this.census.start();
 		this.placement.start();
 		this.control.every(RelayControl.TICK, this.relay::tick);
 		this.control.every(HOUSEKEEPING, this::housekeeping);
@@ -203,6 +210,7 @@
 		this.settingsFollower.close();
 		this.configurations.close();
 		this.upstreams.close();
+		this.census.close();
 		this.placement.close();
 		this.callers.close();
 		this.readiness.close();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindFollower.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindFollower.java
@@ -27,19 +27,6 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(KindFollower.class);
 
-	/**
-	 * Bound on a watch. A watch that ends without a change proves that nothing changed
-	 * until then; two of them and a failed call stay below the age at which keys are no
-	 * longer honoured.
-	 */
-	private static final Duration WATCH_WAIT = Duration.ofMillis(1200);
-
-	/**
-	 * Pause after changes, in which further ones gather into the next call. Small beside
-	 * the second or two in which a change has to be in force.
-	 */
-	private static final Duration GATHER_PAUSE = Duration.ofMillis(100);
-
 	/** Shortest pause after a failed call. */
 	private static final int MIN_RETRY_MILLIS = 150;
 
@@ -55,6 +42,8 @@
 
 	private final KindListener listener;
 
+	private final WatchPace pace;
+
 	private final MonotonicClock clock;
 
 	private final RandomGenerator random;
@@ -65,10 +54,14 @@
 
 	private boolean reachable = true;
 
-	KindFollower(ObjectStore store, String kind, KindListener listener, MonotonicClock clock, RandomGenerator random) {
+	private boolean changedBefore;
+
+	KindFollower(ObjectStore store, String kind, KindListener listener, WatchPace pace, MonotonicClock clock,
+			RandomGenerator random) {
 		this.store = Objects.requireNonNull(store, "store");
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.listener = Objects.requireNonNull(listener, "listener");
+		this.pace = Objects.requireNonNull(pace, "pace");
 		this.clock = clock;
 		this.random = random;
 		this.thread = new Thread(this::run, "follow-" + kind);
@@ -117,16 +110,18 @@
 
 	private WatchResult watch(long revision) throws PeerException {
 		Freshness sent = Freshness.now(this.clock);
-		WatchResult result = this.store.watch(Set.of(this.kind), revision, WATCH_WAIT);
+		Duration wait = this.changedBefore ? this.pace.waitAfterChange() : this.pace.longestWait();
+		WatchResult result = this.store.watch(Set.of(this.kind), revision, wait);
 		succeeded();
 		if (result.compacted()) {
 			logger.atInfo().addKeyValue("kind", this.kind).addKeyValue("revision", revision).log("history is gone");
 			return result;
 		}
-		boolean waited = (this.clock.nanos() - sent.steadyNanos()) >= WATCH_WAIT.toNanos();
-		this.listener.changed(result.changes(), (result.changes().isEmpty() && waited) ? sent.plus(WATCH_WAIT) : sent);
-		if (!result.changes().isEmpty()) {
-			pause(GATHER_PAUSE.toMillis());
+		boolean waited = (this.clock.nanos() - sent.steadyNanos()) >= wait.toNanos();
+		this.changedBefore = !result.changes().isEmpty();
+		this.listener.changed(result.changes(), (!this.changedBefore && waited) ? sent.plus(wait) : sent);
+		if (this.changedBefore) {
+			pause(this.pace.gathering().toMillis());
 		}
 		return result;
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -80,6 +80,22 @@
 	/** Wait for the first event after which a stream starts elsewhere. */
 	private static final Duration FIRST_EVENT_SILENCE = Duration.ofMillis(1500);
 
+	/**
+	 * Share of an engine's memory at which requests go elsewhere. Each daemon knows only
+	 * its own requests and takes the others' to be as many.
+	 */
+	private static final double FULL = 0.9;
+
+	/**
+	 * How much slower a request is expected to be on an engine whose memory is in use.
+	 */
+	private static final double SLOWDOWN_WHEN_FULL = 4;
+
+	/**
+	 * Time within which an engine that has no room says so; a dead one is silent longer.
+	 */
+	private static final Duration QUICK_REJECTION = Duration.ofMillis(700);
+
 	/** Least time that is left for an attempt to be worth sending. */
 	private static final Duration LEAST_REMAINING = Duration.ofMillis(30);
 
@@ -129,6 +145,8 @@
 
 	private boolean stopping;
 
+	private int routers = 1;
+
 	private volatile boolean ready;
 
 	private volatile int open;
@@ -193,6 +211,11 @@
 		});
 	}
 
+	void routers(int count) {
+		this.control.assertCurrent();
+		this.routers = Math.max(1, count);
+	}
+
 	void directoryListed() {
 		this.directoryListed = true;
 		updateReadiness();
@@ -353,7 +376,8 @@
 		EngineProfile profile = this.configuration.orElseThrow().enginesByService().get(service);
 		PathFinder finder = this.finders.get(service);
 		return finder.find(sound, tokens, (engine) -> slowdown(profile, engine), this.random)
-			.or(() -> finder.find(engines, tokens, (engine) -> slowdown(profile, engine), this.random));
+			.or(() -> finder.find(sound, tokens, (engine) -> 1, this.random))
+			.or(() -> finder.find(engines, tokens, (engine) -> 1, this.random));
 	}
 
 	// Returns how much slower an engine is expected to be, by the memory that is in use.
@@ -361,8 +385,8 @@
 		int layers = engine.layers().map((held) -> held.size()).orElse(0);
 		double memory = profile.kind(engine).map((kind) -> kind.memoryMb()).orElse(0.0) - layers * profile.layerMb();
 		double room = memory / (profile.cacheMbPerTokenAndLayer() * Math.max(1, layers));
-		double used = this.load.tokens(engine.id());
-		return 1 + 4 * used / Math.max(1, room);
+		double used = this.load.tokens(engine.id()) * this.routers / Math.max(1, room);
+		return (used < FULL) ? 1 + used * SLOWDOWN_WHEN_FULL : Double.POSITIVE_INFINITY;
 	}
 
 	private Optional<UpstreamInstance> instance(RelayExchange exchange, String service) {
@@ -425,6 +449,10 @@
 			.map((entry) -> entry.instance().id())
 			.orElse(attempt.forwarding().upstream().id());
 		attempt.exchange().failedUpstreams().add(id);
+		if (attempt.forwarding().path().isPresent() && now - attempt.begunNanos() < QUICK_REJECTION.toNanos()) {
+			this.health.full(id, now);
+			return;
+		}
 		this.health.failed(id, reason, now);
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
@@ -25,6 +25,9 @@
 	/** Longest time of avoidance; an upstream that recovers is in use again after it. */
 	private static final Duration LONGEST_AVOIDANCE = Duration.ofSeconds(4);
 
+	/** Time for which a full upstream is avoided; some requests end within it. */
+	private static final Duration FULL_AVOIDANCE = Duration.ofMillis(250);
+
 	private final Map<String, Avoidance> avoided = new HashMap<>();
 
 	void failed(String id, String reason, long nowNanos) {
@@ -44,6 +47,13 @@
 			.log("upstream avoided");
 	}
 
+	// Notes that an upstream has no room now, which says nothing against it.
+	void full(String id, long nowNanos) {
+		if (!avoided(id, nowNanos)) {
+			this.avoided.put(id, new Avoidance(nowNanos + FULL_AVOIDANCE.toNanos(), Duration.ZERO));
+		}
+	}
+
 	void succeeded(String id) {
 		this.avoided.remove(id);
 	}
