--- a/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
@@ -50,17 +50,23 @@
 	 * @param tokens the prompt tokens and the output tokens of the request
 	 * @param slowdown the factor by which an engine is expected to be slower than when it
 	 * is idle, at least 1; infinite if it has no room, not null
+	 * @param waitingTokens the prompt tokens that an engine has to read before those of
+	 * the request, not null
 	 * @param random the source of random numbers, not null
 	 * @return the path, or empty if the engines do not hold all layers
 	 */
 	public Optional<EnginePath> find(Collection<EngineInstance> engines, RequestTokens tokens,
-			ToDoubleFunction<EngineInstance> slowdown, RandomGenerator random) {
+			ToDoubleFunction<EngineInstance> slowdown, ToDoubleFunction<EngineInstance> waitingTokens,
+			RandomGenerator random) {
 		List<Candidate> candidates = new ArrayList<>();
 		for (EngineInstance engine : engines) {
 			Optional<AcceleratorKind> kind = this.profile.kind(engine);
 			double factor = slowdown.applyAsDouble(engine) * (1 + SPREAD * random.nextDouble());
 			if (engine.layers().isPresent() && kind.isPresent() && Double.isFinite(factor)) {
-				candidates.add(new Candidate(engine, engine.layers().get(), factor * layerMillis(kind.get(), tokens)));
+				RequestTokens before = new RequestTokens(waitingTokens.applyAsDouble(engine), 0);
+				LayerRange held = engine.layers().get();
+				candidates.add(new Candidate(engine, held, factor * layerMillis(kind.get(), tokens),
+						held.size() * layerMillis(kind.get(), before)));
 			}
 		}
 		return shortest(candidates, HOP_MILLIS * (tokens.output() + 1));
@@ -93,7 +99,7 @@
 					continue;
 				}
 				for (int start = candidate.layers().first(); start < end; start++) {
-					double own = candidate.layerMillis() * (end - start) + hopMillis;
+					double own = candidate.layerMillis() * (end - start) + candidate.waitMillis() + hopMillis;
 					if (start == 0) {
 						if (own < best[end][c]) {
 							best[end][c] = own;
@@ -148,9 +154,10 @@
 	}
 
 	/**
-	 * An engine with the time that it takes for one layer of the request.
+	 * An engine with the time that it takes for one layer of the request, and the time
+	 * until it comes to the request.
 	 */
-	private record Candidate(EngineInstance engine, LayerRange layers, double layerMillis) {
+	private record Candidate(EngineInstance engine, LayerRange layers, double layerMillis, double waitMillis) {
 
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 
 import org.mulberrycross.engine.EnginePath;
+import org.mulberrycross.engine.RequestTokens;
 import org.mulberrycross.http.MessageHead;
 import org.mulberrycross.http.RelayCall;
 import org.mulberrycross.http.ResponseListener;
@@ -23,7 +24,7 @@
 
 	private final RelayEvents events;
 
-	private final double tokens;
+	private final RequestTokens tokens;
 
 	private final long begunNanos = System.nanoTime();
 
@@ -41,10 +42,12 @@
 
 	private boolean broken;
 
+	private boolean promptRead;
+
 	private boolean released;
 
 	RelayAttempt(RelayExchange exchange, Forwarding forwarding, MessageFormat format, RelayEvents events,
-			double tokens) {
+			RequestTokens tokens) {
 		this.exchange = Objects.requireNonNull(exchange, "exchange");
 		this.forwarding = Objects.requireNonNull(forwarding, "forwarding");
 		this.format = format;
@@ -60,7 +63,7 @@
 		return this.forwarding;
 	}
 
-	double tokens() {
+	RequestTokens tokens() {
 		return this.tokens;
 	}
 
@@ -79,6 +82,13 @@
 		return first;
 	}
 
+	// Returns true once, when the prompt counts as read.
+	boolean readPrompt() {
+		boolean first = !this.promptRead;
+		this.promptRead = true;
+		return first;
+	}
+
 	void attach(RelayCall started) {
 		this.call = started;
 	}
@@ -128,7 +138,11 @@
 		if (this.broken) {
 			return;
 		}
+		boolean first = this.lastDataNanos == 0;
 		this.lastDataNanos = System.nanoTime();
+		if (first) {
+			this.events.answering(this);
+		}
 		if (!this.head.isSuccess() || !this.exchange.stream()) {
 			this.body.writeBytes(part);
 			return;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 import org.slf4j.Logger;
@@ -348,7 +349,7 @@
 		}
 		Forwarding forwarding = new Forwarding(upstream.get(), remaining, exchange.team(), path,
 				exchange.stream() ? exchange.lastEventId() : OptionalLong.empty());
-		RelayAttempt attempt = new RelayAttempt(exchange, forwarding, this.format, this, tokens.total());
+		RelayAttempt attempt = new RelayAttempt(exchange, forwarding, this.format, this, tokens);
 		exchange.begin(attempt);
 		exchange.countRun(1);
 		this.load.add(attempt.upstreams(), attempt.tokens());
@@ -375,9 +376,10 @@
 			.toList();
 		EngineProfile profile = this.configuration.orElseThrow().enginesByService().get(service);
 		PathFinder finder = this.finders.get(service);
-		return finder.find(sound, tokens, (engine) -> slowdown(profile, engine), this.random)
-			.or(() -> finder.find(sound, tokens, (engine) -> 1, this.random))
-			.or(() -> finder.find(engines, tokens, (engine) -> 1, this.random));
+		ToDoubleFunction<EngineInstance> unread = (engine) -> this.load.unread(engine.id()) * this.routers;
+		return finder.find(sound, tokens, (engine) -> slowdown(profile, engine), unread, this.random)
+			.or(() -> finder.find(sound, tokens, (engine) -> 1, unread, this.random))
+			.or(() -> finder.find(engines, tokens, (engine) -> 1, unread, this.random));
 	}
 
 	// Returns how much slower an engine is expected to be, by the memory that is in use.
@@ -403,6 +405,17 @@
 		return serving.stream().min(leastLoaded);
 	}
 
+	@Override
+	public void answering(RelayAttempt attempt) {
+		this.control.post(() -> promptRead(attempt));
+	}
+
+	private void promptRead(RelayAttempt attempt) {
+		if (attempt.readPrompt()) {
+			this.load.read(attempt.upstreams(), attempt.tokens());
+		}
+	}
+
 	@Override
 	public void completed(RelayAttempt attempt) {
 		this.control.post(() -> {
@@ -618,6 +631,7 @@
 
 	private void release(RelayAttempt attempt) {
 		if (attempt.release()) {
+			promptRead(attempt);
 			this.load.remove(attempt.upstreams(), attempt.tokens());
 		}
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayEvents.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayEvents.java
@@ -7,6 +7,12 @@
  */
 interface RelayEvents {
 
+	/**
+	 * The first part of an answer arrived.
+	 * @param attempt the attempt
+	 */
+	void answering(RelayAttempt attempt);
+
 	/**
 	 * An upstream answered with a failure.
 	 * @param attempt the attempt
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterCensus.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterCensus.java
@@ -56,14 +56,17 @@
 
 	private void run() {
 		boolean entered = false;
+		boolean first = true;
 		Duration pause = FIRST_COUNT;
 		try {
 			do {
+				count();
 				entered = entered || enter();
 				if (this.closed.await(pause.toMillis(), TimeUnit.MILLISECONDS)) {
 					return;
 				}
-				pause = count() ? PERIOD : FIRST_COUNT;
+				pause = (entered && !first) ? PERIOD : FIRST_COUNT;
+				first = false;
 			}
 			while (true);
 		}
@@ -83,14 +86,12 @@
 		}
 	}
 
-	private boolean count() {
+	private void count() {
 		try {
 			this.counted.accept(this.store.list(Set.of(KIND), "", MAX_DAEMONS).objects().size());
-			return true;
 		}
 		catch (PeerException ex) {
 			logger.atInfo().addKeyValue("cause", ex.toString()).log("daemons are not counted");
-			return false;
 		}
 	}
 
