Find engines that hold up requests, and let silent streams wait when no retry is left

An engine in the middle of a path was not blamed. Ruled out: the route's bound on runs (the broken streams had one run).

--- a/mulberrycross/src/main/java/org/mulberrycross/RetryBudget.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/RetryBudget.java
@@ -34,6 +34,14 @@
 		this.available = Math.min(this.capacity, this.available + this.perCall);
 	}
 
+	/**
+	 * Returns whether a retry is left.
+	 * @return whether {@link #tryRetry()} would succeed now
+	 */
+	public synchronized boolean hasRetry() {
+		return this.available >= 1;
+	}
+
 	/**
 	 * Takes one retry from the budget.
 	 * @return false if the budget is used up and the attempt must not be repeated
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -74,6 +74,8 @@
 
 	private final RelayClient client;
 
+	private final StallProbes stallProbes;
+
 	private final RelayControl relay;
 
 	private final RelayServer callers;
@@ -106,8 +108,9 @@
 		this.settings = Objects.requireNonNull(settings, "settings");
 		SecureRandom seeds = new SecureRandom();
 		this.client = new RelayClient();
+		this.stallProbes = new StallProbes(adapter.stalls());
 		this.relay = new RelayControl(this.control, this.clock, new SplittableRandom(seeds.nextLong()), settings,
-				adapter.messages(), this.client, new RelayMetrics(this.metrics));
+				adapter.messages(), this.client, this.stallProbes, new RelayMetrics(this.metrics));
 		this.callers = new RelayServer(settings.callers(), this.relay::arrived);
 		this.readiness = new RelayServer(settings.readiness(), this::answerProbe);
 		this.settingsFollower = new SettingsFollower(source, settings, this.relay::reload);
@@ -214,6 +217,7 @@
 		this.placement.close();
 		this.callers.close();
 		this.readiness.close();
+		this.stallProbes.close();
 		this.client.close();
 		this.control.close();
 		this.stopped.countDown();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlatformAdapter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlatformAdapter.java
@@ -14,10 +14,11 @@
  * @param upstream decodes an upstream's entry, not null
  * @param messages the format of requests and answers, not null
  * @param placements sends orders to engines, not null
+ * @param stalls asks engines what holds up their requests, not null
  */
 public record PlatformAdapter(ObjectStore store, String configurationKind,
 		EntryDecoder<ServingConfiguration> configuration, String upstreamKind, EntryDecoder<DirectoryEntry> upstream,
-		MessageFormat messages, PlacementClient placements) {
+		MessageFormat messages, PlacementClient placements, StallReporter stalls) {
 
 	/**
 	 * Creates an adapter.
@@ -29,6 +30,7 @@
 	 * @param upstream decodes an upstream's entry, not null
 	 * @param messages the format of requests and answers, not null
 	 * @param placements sends orders to engines, not null
+	 * @param stalls asks engines what holds up their requests, not null
 	 */
 	public PlatformAdapter {
 		Objects.requireNonNull(store, "store");
@@ -38,6 +40,7 @@
 		Objects.requireNonNull(upstream, "upstream");
 		Objects.requireNonNull(messages, "messages");
 		Objects.requireNonNull(placements, "placements");
+		Objects.requireNonNull(stalls, "stalls");
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -21,6 +21,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.mulberrycross.Address;
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.RetryBudget;
@@ -78,6 +79,14 @@
 	 */
 	private static final Duration STREAM_SILENCE = Duration.ofMillis(600);
 
+	/** Silence of a stream after which its first engine is asked what holds it up. */
+	private static final Duration STREAM_SUSPICION = Duration.ofMillis(250);
+
+	/**
+	 * Wait for the first event after which the first engine is asked what holds it up.
+	 */
+	private static final Duration FIRST_EVENT_SUSPICION = Duration.ofMillis(500);
+
 	/** Wait for the first event after which a stream starts elsewhere. */
 	private static final Duration FIRST_EVENT_SILENCE = Duration.ofMillis(1500);
 
@@ -106,9 +115,16 @@
 	private static final double RETRY_SHARE = 0.8;
 
 	/**
-	 * Number of daemons that share the limit on retries, at least as many as there are.
+	 * Part of the burst of retries that daemons use, so that daemons that all start again
+	 * within the limit's window stay below it too.
 	 */
-	private static final int RETRY_SHARERS = 32;
+	private static final double RETRY_BURST_SHARE = 0.4;
+
+	/** Daemons assumed until they are counted. */
+	private static final int UNKNOWN_ROUTERS = 8;
+
+	/** Time for which a request waits for the first configuration, usually 0.1 s away. */
+	private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(250);
 
 	private final ControlThread control;
 
@@ -120,6 +136,8 @@
 
 	private final RelayClient client;
 
+	private final StallProbes stallProbes;
+
 	private final RelayMetrics metrics;
 
 	private final UpstreamDirectory directory = new UpstreamDirectory();
@@ -146,20 +164,21 @@
 
 	private boolean stopping;
 
-	private int routers = 1;
+	private int routers = UNKNOWN_ROUTERS;
 
 	private volatile boolean ready;
 
 	private volatile int open;
 
 	RelayControl(ControlThread control, MonotonicClock clock, RandomGenerator random, RelaySettings settings,
-			MessageFormat format, RelayClient client, RelayMetrics metrics) {
+			MessageFormat format, RelayClient client, StallProbes stallProbes, RelayMetrics metrics) {
 		this.control = Objects.requireNonNull(control, "control");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.random = Objects.requireNonNull(random, "random");
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.format = Objects.requireNonNull(format, "format");
 		this.client = Objects.requireNonNull(client, "client");
+		this.stallProbes = Objects.requireNonNull(stallProbes, "stallProbes");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 	}
 
@@ -214,7 +233,10 @@
 
 	void routers(int count) {
 		this.control.assertCurrent();
-		this.routers = Math.max(1, count);
+		if (this.routers != Math.max(1, count)) {
+			this.routers = Math.max(1, count);
+			this.budgets.clear();
+		}
 	}
 
 	void directoryListed() {
@@ -260,6 +282,14 @@
 	private void begin(RelayExchange exchange) {
 		this.exchanges.add(exchange);
 		this.open = this.exchanges.size();
+		admitOrWait(exchange);
+	}
+
+	private void admitOrWait(RelayExchange exchange) {
+		if (this.configuration.isEmpty() && exchange.age(this.clock.nanos()).compareTo(CONFIGURATION_WAIT) < 0) {
+			this.waiting.add(exchange);
+			return;
+		}
 		Optional<Rejection> rejection = admit(exchange);
 		if (rejection.isPresent()) {
 			Rejection reason = rejection.get();
@@ -304,7 +334,7 @@
 	private RetryBudget budget(String service) {
 		return this.budgets.computeIfAbsent(service,
 				(name) -> new RetryBudget(Math.max(0.001, this.settings.retryRatio() * RETRY_SHARE),
-						Math.max(1, this.settings.retryBurst() / RETRY_SHARERS)));
+						Math.max(1, this.settings.retryBurst() * RETRY_BURST_SHARE / this.routers)));
 	}
 
 	private void dispatchOrWait(RelayExchange exchange) {
@@ -570,7 +600,13 @@
 		int count = this.waiting.size();
 		for (int i = 0; i < count; i++) {
 			RelayExchange exchange = this.waiting.poll();
-			if (!exchange.finished()) {
+			if (exchange.finished()) {
+				continue;
+			}
+			if (exchange.rule() == null) {
+				admitOrWait(exchange);
+			}
+			else {
 				dispatchOrWait(exchange);
 			}
 		}
@@ -597,10 +633,44 @@
 			}
 			return;
 		}
-		if (exchange.rule().repeatable() && exchange.runs() < exchange.rule().maxRuns()) {
-			Duration limit = silence(exchange, attempt);
-			if (now - attempt.lastSignNanos() > limit.toNanos()) {
-				failed(attempt, "silent for " + limit.toMillis() + " ms", true);
+		long silentNanos = now - attempt.lastSignNanos();
+		if (attempt.forwarding().path().isPresent() && silentNanos > probeAfter(attempt).toNanos()) {
+			this.stallProbes.probe(attempt.forwarding().path().get().first(), now, this::stalled);
+		}
+		Duration limit = silence(exchange, attempt);
+		if (silentNanos > limit.toNanos() && mayRunAgain(exchange)) {
+			failed(attempt, "silent for " + limit.toMillis() + " ms", true);
+		}
+	}
+
+	// Silence alone is no reason to end an answer: the request goes on elsewhere or
+	// waits.
+	private boolean mayRunAgain(RelayExchange exchange) {
+		return exchange.rule().repeatable() && exchange.runs() < exchange.rule().maxRuns()
+				&& exchange.tries() < MAX_TRIES
+				&& exchange.rule().services().stream().allMatch((share) -> budget(share.service()).hasRetry());
+	}
+
+	private static Duration probeAfter(RelayAttempt attempt) {
+		return attempt.dataSeen() ? STREAM_SUSPICION : FIRST_EVENT_SUSPICION;
+	}
+
+	private void stalled(EngineInstance first, Set<Address> addresses) {
+		this.control.post(() -> addresses.forEach(this::leaveEngine));
+	}
+
+	// Moves the requests on a path with an engine that does not work to other paths.
+	private void leaveEngine(Address address) {
+		Optional<String> id = this.directory.at(address).map((entry) -> entry.instance().id());
+		if (id.isEmpty()) {
+			return;
+		}
+		this.health.stalled(id.get(), this.clock.nanos());
+		for (RelayExchange exchange : List.copyOf(this.exchanges)) {
+			RelayAttempt attempt = exchange.current();
+			if (attempt != null && !exchange.finished() && attempt.upstreams().contains(id.get())
+					&& mayRunAgain(exchange)) {
+				failed(attempt, "engine " + id.get() + " is stalled", attempt.wasSent());
 			}
 		}
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
@@ -47,6 +47,16 @@
 			.log("upstream avoided");
 	}
 
+	// Notes that requests wait for an upstream in vain, so that it gets none for the
+	// longest time.
+	void stalled(String id, long nowNanos) {
+		this.avoided.put(id, new Avoidance(nowNanos + LONGEST_AVOIDANCE.toNanos(), LONGEST_AVOIDANCE));
+		logger.atInfo()
+			.addKeyValue("upstream", id)
+			.addKeyValue("for_ms", LONGEST_AVOIDANCE.toMillis())
+			.log("upstream stalled");
+	}
+
 	// Notes that an upstream has no room now, which says nothing against it.
 	void full(String id, long nowNanos) {
 		if (!avoided(id, nowNanos)) {
