--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
@@ -146,7 +146,7 @@
 	private List<Placement> chain(List<EngineInstance> copy, double requests) {
 		List<EngineInstance> fastestLast = new ArrayList<>(copy);
 		fastestLast.sort(Comparator.comparingInt((EngineInstance engine) -> most(engine, requests))
-			.thenComparing(fastestFirst().reversed()));
+			.thenComparing(fastestFirst()));
 		List<Placement> placements = new ArrayList<>();
 		int surplus = copy.stream().mapToInt((engine) -> most(engine, requests)).sum() - this.profile.layers();
 		EngineInstance slowest = copy.get(copy.size() - 1);
@@ -169,7 +169,9 @@
 		Optional<LayerRange> hole = firstHole(engines, placements);
 		while (hole.isPresent()) {
 			LayerRange missing = hole.get();
-			Optional<Placement> next = fill(missing, free).or(() -> extend(missing, engines, placements));
+			// Neighbours come first where the empty engines cannot take the whole gap.
+			Optional<Placement> next = (room(free) < missing.size())
+					? extend(missing, engines, placements).or(() -> fill(missing, free)) : fill(missing, free);
 			if (next.isEmpty()) {
 				break;
 			}
@@ -180,6 +182,10 @@
 		return placements;
 	}
 
+	private int room(List<EngineInstance> free) {
+		return free.stream().mapToInt((engine) -> most(engine, LEAST_REQUESTS)).sum();
+	}
+
 	private Optional<Placement> fill(LayerRange missing, List<EngineInstance> free) {
 		for (EngineInstance engine : free) {
 			int comfortable = most(engine, TARGET_REQUESTS);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -1,7 +1,9 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -74,6 +76,8 @@
 
 	private final PendingOrders pending = new PendingOrders();
 
+	private final Map<String, Gathering> gatherings = new HashMap<>();
+
 	private final CountDownLatch closed = new CountDownLatch(1);
 
 	private final ExecutorService senders = Executors.newFixedThreadPool(ORDERS_AT_ONCE, (task) -> {
@@ -86,9 +90,10 @@
 
 	private LeaseState state = LeaseState.initial();
 
-	private Set<String> known = Set.of();
-
-	private long knownSinceNanos;
+	/**
+	 * Whether an engine has seen a higher fencing number, so that the lease is not ours.
+	 */
+	private volatile boolean fenced;
 
 	PlacementRunner(Supplier<PlacementView> view, OrderLease lease, LeaseWriter writer, PlacementClient client,
 			MonotonicClock clock, Supplier<String> tokens) {
@@ -122,12 +127,18 @@
 		List<Placement> placements = seen.profiles()
 			.entrySet()
 			.stream()
-			.flatMap((entry) -> plan(entry.getValue(), seen.engines().getOrDefault(entry.getKey(), List.of()), now)
+			.flatMap((entry) -> plan(entry.getKey(), entry.getValue(),
+					seen.engines().getOrDefault(entry.getKey(), List.of()), now)
 				.stream())
 			.toList();
 		if (placements.isEmpty()) {
 			return;
 		}
+		if (this.fenced) {
+			this.fenced = false;
+			this.state = LeaseState.initial();
+			logger.info("placement lease given up, since an engine has seen a newer one");
+		}
 		advanceLease();
 		Optional<LeaseGrant> grant = this.state.grant().filter((held) -> held.lasts(ORDER_TIMEOUT, this.clock.nanos()));
 		if (grant.isPresent()) {
@@ -135,15 +146,16 @@
 		}
 	}
 
-	private List<Placement> plan(EngineProfile profile, List<EngineInstance> engines, long now) {
+	private List<Placement> plan(String service, EngineProfile profile, List<EngineInstance> engines, long now) {
 		List<EngineInstance> ordered = this.pending.overlay(engines, now);
 		Set<String> ids = engines.stream().map(EngineInstance::id).collect(Collectors.toSet());
-		if (!this.known.equals(ids)) {
-			this.known = ids;
-			this.knownSinceNanos = now;
+		Gathering gathering = this.gatherings.get(service);
+		if (gathering == null || !gathering.ids().equals(ids)) {
+			gathering = new Gathering(ids, now);
+			this.gatherings.put(service, gathering);
 		}
 		boolean first = ordered.stream().allMatch((engine) -> engine.layers().isEmpty());
-		if (first && now - this.knownSinceNanos < GATHER_TIME.toNanos()) {
+		if (first && now - gathering.sinceNanos() < GATHER_TIME.toNanos()) {
 			return List.of();
 		}
 		return new LayerPlanner(profile).plan(ordered);
@@ -195,6 +207,9 @@
 			}
 			reply = Optional.of(this.client.order(placement, taken.getAsLong(), grant.fencing(), ORDER_TIMEOUT));
 			outcome = reply.get().name();
+			if (reply.get() == PlacementReply.FENCED) {
+				this.fenced = true;
+			}
 		}
 		catch (PeerException ex) {
 			outcome = "no answer: " + ex;
@@ -216,4 +231,11 @@
 		this.thread.interrupt();
 	}
 
+	/**
+	 * The engines of a service and since when there are just these.
+	 */
+	private record Gathering(Set<String> ids, long sinceNanos) {
+
+	}
+
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -64,8 +64,11 @@
 	/** Attempts at most, rejected ones included. */
 	private static final int MAX_TRIES = 5;
 
-	/** Share of the revocation time at which keys known so far are no longer honoured. */
-	private static final double MAX_KEY_AGE = 0.76;
+	/**
+	 * Share of the revocation time at which keys known so far are no longer honoured. The
+	 * rest covers clocks that are set back while the machine is suspended.
+	 */
+	private static final double MAX_KEY_AGE = 0.88;
 
 	/** When a client may come back while a part of the model is being loaded. */
 	private static final Duration RETRY_AFTER_NO_PATH = Duration.ofMillis(1000);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchPace.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchPace.java
@@ -19,15 +19,15 @@
 	 * are no longer honoured, and the pause far below the time in which a change is in
 	 * force.
 	 */
-	static final WatchPace CONFIGURATION = new WatchPace(Duration.ofMillis(2400), Duration.ofMillis(600),
+	static final WatchPace CONFIGURATION = new WatchPace(Duration.ofMillis(2800), Duration.ofMillis(600),
 			Duration.ofMillis(100));
 
 	/**
-	 * Pace for upstreams. A silent connection is noticed within the 3 s for which the
-	 * bounds on leaving upstreams are suspended around it, and the pause is far below
-	 * those bounds.
+	 * Pace for upstreams. A silent connection suspends the bounds on leaving upstreams,
+	 * of 2 s, for 3 s, and is noticed within both together; the pause is far below these
+	 * bounds.
 	 */
-	static final WatchPace UPSTREAMS = new WatchPace(Duration.ofMillis(3000), Duration.ofMillis(3000),
+	static final WatchPace UPSTREAMS = new WatchPace(Duration.ofMillis(4000), Duration.ofMillis(4000),
 			Duration.ofMillis(250));
 
 	WatchPace {
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/PathFinderTest.java
@@ -0,0 +1,93 @@
+package org.mulberrycross.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards that each layer runs once and in order, and that load moves requests elsewhere.
+ */
+class PathFinderTest {
+
+	private static final RequestTokens TOKENS = new RequestTokens(774, 210);
+
+	private final PathFinder finder = new PathFinder(TestEngines.PROFILE);
+
+	private Optional<EnginePath> find(List<EngineInstance> engines, long seed) {
+		return this.finder.find(engines, TOKENS, (engine) -> 1, (engine) -> 0, new SplittableRandom(seed));
+	}
+
+	/**
+	 * Fails if a path leaves out a layer, runs one twice or uses an engine beyond its
+	 * layers.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void pathsCoverAllLayersOnce(long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		List<EngineInstance> engines = new ArrayList<>();
+		for (int i = 0; i < 40; i++) {
+			int first = random.nextInt(75);
+			int end = Math.min(80, first + 5 + random.nextInt(20));
+			engines.add(TestEngines.holding("e" + i, "slow", "dc-" + random.nextInt(3), first, end));
+		}
+		engines.add(TestEngines.holding("first", "slow", "dc-0", 0, 12));
+		engines.add(TestEngines.holding("last", "slow", "dc-0", 70, 80));
+		Optional<EnginePath> path = find(engines, seed);
+		if (path.isEmpty()) {
+			return;
+		}
+		int next = 0;
+		for (PathStage stage : path.get().stages()) {
+			assertThat(stage.layers().first()).isEqualTo(next);
+			assertThat(stage.engine().layers().orElseThrow().contains(stage.layers())).isTrue();
+			next = stage.layers().end();
+		}
+		assertThat(next).isEqualTo(80);
+	}
+
+	/** Fails if a path is made up although a layer has no engine. */
+	@Test
+	void noPathWithoutAllLayers() {
+		assertThat(find(List.of(TestEngines.holding("a", "large", "dc", 0, 40),
+				TestEngines.holding("b", "large", "dc", 41, 80)), 1))
+			.isEqualTo(Optional.empty());
+	}
+
+	/** Fails if a request crosses data centres although one of them holds all layers. */
+	@Test
+	void staysInOneDataCentre() {
+		List<EngineInstance> engines = List.of(TestEngines.holding("a0", "slow", "a", 0, 40),
+				TestEngines.holding("a1", "slow", "a", 40, 80), TestEngines.holding("b0", "large", "b", 0, 40));
+		EnginePath path = find(engines, 1).orElseThrow();
+		assertThat(path.stages().stream().map((stage) -> stage.engine().id()).toList()).containsExactly("a0", "a1");
+	}
+
+	/** Fails if requests queue behind prompts while another copy of the model is idle. */
+	@Test
+	void avoidsEnginesWithUnreadPrompts() {
+		List<EngineInstance> engines = List.of(TestEngines.holding("fast", "large", "a", 0, 80),
+				TestEngines.holding("idle", "slow", "b", 0, 80));
+		assertThat(find(engines, 1).orElseThrow().first().id()).isEqualTo("fast");
+		Optional<EnginePath> loaded = this.finder.find(engines, TOKENS, (engine) -> 1,
+				(engine) -> engine.id().equals("fast") ? 500_000 : 0, new SplittableRandom(1));
+		assertThat(loaded.orElseThrow().first().id()).isEqualTo("idle");
+	}
+
+	/** Fails if an engine without room is used. */
+	@Test
+	void leavesOutEnginesWithoutRoom() {
+		List<EngineInstance> engines = List.of(TestEngines.holding("full", "large", "a", 0, 80));
+		assertThat(this.finder.find(engines, TOKENS, (engine) -> Double.POSITIVE_INFINITY, (engine) -> 0,
+				new SplittableRandom(1)))
+			.isEqualTo(Optional.empty());
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/PendingOrdersTest.java
@@ -0,0 +1,47 @@
+package org.mulberrycross.router.relay;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.UpstreamInstance;
+import org.mulberrycross.engine.EngineInstance;
+import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.Placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against orders that are repeated at once or never, after a lost answer or a
+ * restart.
+ */
+class PendingOrdersTest {
+
+	private static EngineInstance engine(long startedMillis, Optional<LayerRange> layers) {
+		return new EngineInstance(
+				new UpstreamInstance("e", "s", new Address("10.0.0.1", 80), "dc", false, 1, startedMillis), "k", layers,
+				0);
+	}
+
+	/**
+	 * Fails if an order without an answer counts for good, an accepted one is forgotten
+	 * while weights load, or an engine that restarted counts as ordered.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "ACCEPTED, 5000, 1000, true", "ACCEPTED, 21000, 1000, false", ", 1000, 1000, true",
+			", 2000, 1000, false", "CONFLICT, 400, 1000, true", "CONFLICT, 600, 1000, false",
+			"ACCEPTED, 1000, 2000, false" })
+	void orderCountsForAsLongAsItMayBeCarriedOut(PlacementReply reply, long afterMillis, long startedMillis,
+			boolean counts) {
+		LayerRange range = new LayerRange(0, 5);
+		PendingOrders pending = new PendingOrders();
+		pending.put(new Placement(engine(1000, Optional.empty()), range), Optional.ofNullable(reply), 0);
+		List<EngineInstance> seen = pending.overlay(List.of(engine(startedMillis, Optional.empty())),
+				afterMillis * 1_000_000);
+		assertThat(seen.get(0).layers().isPresent()).isEqualTo(counts);
+	}
+
+}
