--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -121,7 +121,7 @@
 				new UpstreamListener(adapter.upstream()), WatchPace.UPSTREAMS, this.clock,
 				new SplittableRandom(seeds.nextLong()));
 		this.census = new RouterCensus(adapter.store(), settings.name(),
-				(count) -> this.control.post(() -> this.relay.routers(count)));
+				(count) -> this.control.post(() -> this.relay.daemons(count)));
 		this.placement = new PlacementRunner(this.placementView::get,
 				new OrderLease(settings.name(), PlacementRunner.LEASE_TIME),
 				new LeaseWriter(new ObjectLeaseStore(adapter.store()), PlacementRunner.LEASE_NAME),
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -13,6 +13,8 @@
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.Address;
+import org.mulberrycross.engine.EngineInstance;
+import org.mulberrycross.engine.EngineProfile;
 
 /**
  * The upstreams that the platform lists. Entries that lapse around an outage of the store
@@ -108,10 +110,6 @@
 		});
 	}
 
-	Collection<DirectoryEntry> all() {
-		return this.entries.values();
-	}
-
 	// Returns the entries of a service that take new work.
 	List<DirectoryEntry> serving(String service) {
 		return this.entries.values()
@@ -120,6 +118,15 @@
 			.toList();
 	}
 
+	// Returns the engines that serve, by the services that run a model.
+	PlacementView placementView(Map<String, EngineProfile> profiles) {
+		Map<String, List<EngineInstance>> engines = new HashMap<>();
+		profiles.keySet()
+			.forEach((service) -> engines.put(service,
+					serving(service).stream().flatMap((entry) -> entry.engine().stream()).toList()));
+		return new PlacementView(profiles, engines);
+	}
+
 	Optional<DirectoryEntry> at(Address address) {
 		return this.entries.values().stream().filter((entry) -> entry.instance().address().equals(address)).findFirst();
 	}
