--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryBudgets.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryBudgets.java
@@ -22,7 +22,7 @@
 	 * Part of the burst of retries that daemons use, so that daemons that all start again
 	 * within the limit's window stay below it too.
 	 */
-	private static final double BURST_SHARE = 0.4;
+	private static final double BURST_SHARE = 0.5;
 
 	/** Least ratio that the budget takes; stands for none. */
 	private static final double LEAST_RATIO = 0.001;
