--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -115,10 +115,10 @@
 		this.readiness = new RelayServer(settings.readiness(), this::answerProbe);
 		this.settingsFollower = new SettingsFollower(source, settings, this.relay::reload);
 		this.configurations = new KindFollower(adapter.store(), adapter.configurationKind(),
-				new ConfigurationListener(adapter.configuration()), WatchPace.CONFIGURATION, this.clock,
-				new SplittableRandom(seeds.nextLong()));
+				new ConfigurationListener(adapter.configurationKind(), adapter.configuration()),
+				WatchPace.CONFIGURATION, this.clock, new SplittableRandom(seeds.nextLong()));
 		this.upstreams = new KindFollower(adapter.store(), adapter.upstreamKind(),
-				new UpstreamListener(adapter.upstream()), WatchPace.UPSTREAMS, this.clock,
+				new UpstreamListener(adapter.upstreamKind(), adapter.upstream()), WatchPace.UPSTREAMS, this.clock,
 				new SplittableRandom(seeds.nextLong()));
 		this.census = new RouterCensus(adapter.store(), settings.name(),
 				(count) -> this.control.post(() -> this.relay.daemons(count)));
@@ -223,14 +223,39 @@
 		this.stopped.countDown();
 	}
 
+	/**
+	 * Tells the directory of upstreams that the store cannot be reached.
+	 */
+	private abstract class OutageListener implements KindListener {
+
+		private final String kind;
+
+		private OutageListener(String kind) {
+			this.kind = kind;
+		}
+
+		@Override
+		public void lost() {
+			Gateway.this.control.post(() -> Gateway.this.relay.directory().storeLost(this.kind));
+		}
+
+		@Override
+		public void regained() {
+			Gateway.this.control
+				.post(() -> Gateway.this.relay.directory().storeRegained(this.kind, Gateway.this.clock.nanos()));
+		}
+
+	}
+
 	/**
 	 * Hands versions of the configuration to the control thread.
 	 */
-	private final class ConfigurationListener implements KindListener {
+	private final class ConfigurationListener extends OutageListener {
 
 		private final EntryDecoder<ServingConfiguration> decoder;
 
-		private ConfigurationListener(EntryDecoder<ServingConfiguration> decoder) {
+		private ConfigurationListener(String kind, EntryDecoder<ServingConfiguration> decoder) {
+			super(kind);
 			this.decoder = decoder;
 		}
 
@@ -254,24 +279,17 @@
 			});
 		}
 
-		@Override
-		public void lost() {
-		}
-
-		@Override
-		public void regained() {
-		}
-
 	}
 
 	/**
 	 * Hands changes of the list of upstreams to the control thread.
 	 */
-	private final class UpstreamListener implements KindListener {
+	private final class UpstreamListener extends OutageListener {
 
 		private final EntryDecoder<DirectoryEntry> decoder;
 
-		private UpstreamListener(EntryDecoder<DirectoryEntry> decoder) {
+		private UpstreamListener(String kind, EntryDecoder<DirectoryEntry> decoder) {
+			super(kind);
 			this.decoder = decoder;
 		}
 
@@ -299,16 +317,6 @@
 						() -> Gateway.this.relay.directory().remove(id, Gateway.this.clock.nanos()))));
 		}
 
-		@Override
-		public void lost() {
-			Gateway.this.control.post(() -> Gateway.this.relay.directory().storeLost());
-		}
-
-		@Override
-		public void regained() {
-			Gateway.this.control.post(() -> Gateway.this.relay.directory().storeRegained(Gateway.this.clock.nanos()));
-		}
-
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.slf4j.Logger;
@@ -37,20 +38,21 @@
 	 */
 	private final Map<String, Long> lapsed = new HashMap<>();
 
-	private boolean storeLost;
-
-	private long regainedNanos;
+	/**
+	 * Kinds that cannot be followed; the loss of any one is taken for an outage of the
+	 * store.
+	 */
+	private final Set<String> lostKinds = new HashSet<>();
 
-	private boolean everLost;
+	private OptionalLong regainedNanos = OptionalLong.empty();
 
-	void storeLost() {
-		this.storeLost = true;
-		this.everLost = true;
+	void storeLost(String kind) {
+		this.lostKinds.add(kind);
 	}
 
-	void storeRegained(long nowNanos) {
-		this.storeLost = false;
-		this.regainedNanos = nowNanos;
+	void storeRegained(String kind, long nowNanos) {
+		this.lostKinds.remove(kind);
+		this.regainedNanos = OptionalLong.of(nowNanos);
 	}
 
 	void replaceAll(Collection<DirectoryEntry> listed, long nowNanos) {
@@ -86,7 +88,9 @@
 		if (!this.entries.containsKey(id)) {
 			return;
 		}
-		boolean outage = this.everLost && (this.storeLost || nowNanos - this.regainedNanos < RETURN_TIME.toNanos());
+		boolean justBack = this.regainedNanos.isPresent()
+				&& nowNanos - this.regainedNanos.getAsLong() < RETURN_TIME.toNanos();
+		boolean outage = !this.lostKinds.isEmpty() || justBack;
 		if (outage) {
 			this.lapsed.putIfAbsent(id, nowNanos + RETURN_TIME.toNanos());
 			return;
@@ -98,11 +102,12 @@
 
 	// Removes entries that lapsed around an outage and did not come back.
 	void expire(long nowNanos) {
-		if (this.storeLost || this.lapsed.isEmpty()) {
+		if (!this.lostKinds.isEmpty() || this.lapsed.isEmpty()) {
 			return;
 		}
+		long end = this.regainedNanos.orElse(nowNanos) + RETURN_TIME.toNanos();
 		Map.copyOf(this.lapsed).forEach((id, until) -> {
-			if (nowNanos - until >= 0) {
+			if (nowNanos - Math.max(until, end) >= 0) {
 				this.lapsed.remove(id);
 				this.entries.remove(id);
 				logger.atInfo().addKeyValue("upstream", id).log("upstream did not come back after the outage");
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
@@ -52,8 +52,8 @@
 	void lapsedEntriesStayUntilTheyCouldBeBack() {
 		this.directory.put(entry("a", false));
 		this.directory.put(entry("b", false));
-		this.directory.storeLost();
-		this.directory.storeRegained(10 * SECOND);
+		this.directory.storeLost("a-kind");
+		this.directory.storeRegained("a-kind", 10 * SECOND);
 		this.directory.replaceAll(List.of(entry("b", false)), 10 * SECOND);
 		this.directory.expire(11 * SECOND);
 		assertThat(serving()).containsExactly("a", "b");
@@ -61,12 +61,31 @@
 		assertThat(serving()).containsExactly("b");
 	}
 
+	/**
+	 * Fails if the watch of the list, which may still wait, has to notice an outage
+	 * itself before lapsed entries are kept. Seen in incident inc-05e8: entries lapsed
+	 * 0.9 s after the watch of the configuration had noticed the outage.
+	 */
+	@Test
+	void lossOfAnyKindIsAnOutage() {
+		this.directory.put(entry("a", false));
+		this.directory.storeLost("configuration");
+		this.directory.remove("a", SECOND);
+		this.directory.expire(20 * SECOND);
+		assertThat(serving()).containsExactly("a");
+		this.directory.storeRegained("configuration", 20 * SECOND);
+		this.directory.expire(21 * SECOND);
+		assertThat(serving()).containsExactly("a");
+		this.directory.expire(22 * SECOND);
+		assertThat(serving()).isEmpty();
+	}
+
 	/** Fails if an entry that came back in time is removed after all. */
 	@Test
 	void entryThatIsBackStays() {
 		this.directory.put(entry("a", false));
-		this.directory.storeLost();
-		this.directory.storeRegained(10 * SECOND);
+		this.directory.storeLost("a-kind");
+		this.directory.storeRegained("a-kind", 10 * SECOND);
 		this.directory.replaceAll(List.of(), 10 * SECOND);
 		this.directory.put(entry("a", false));
 		this.directory.expire(13 * SECOND);
