Relieve crowded engines with one that came back; test targets, chunked bodies and overdue connections

Cause: after a repair the engines that took over layers keep memory for 20 usual requests in place of 100, and the engine that came back stayed empty.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
@@ -28,6 +28,11 @@
 	/** Usual requests that an engine keeps memory for when it takes over layers. */
 	private static final double LEAST_REQUESTS = 20;
 
+	/**
+	 * Usual requests that an engine has memory for if its layers need no second holder.
+	 */
+	private static final double ROOMY_REQUESTS = 40;
+
 	/** Step by which the target is lowered until a copy fits. */
 	private static final double TARGET_STEP = 0.8;
 
@@ -179,9 +184,28 @@
 			free.remove(next.get().engine());
 			hole = firstHole(engines, placements);
 		}
+		if (placements.isEmpty()) {
+			relieve(engines, free).ifPresent(placements::add);
+		}
 		return placements;
 	}
 
+	// Places an empty engine, such as one that came back, beside engines that took over
+	// so many
+	// layers that little memory is left for requests.
+	private Optional<Placement> relieve(List<EngineInstance> engines, List<EngineInstance> free) {
+		boolean[] roomy = new boolean[this.profile.layers()];
+		engines.stream()
+			.filter((
+					engine) -> engine.layers().map((held) -> held.size() <= most(engine, ROOMY_REQUESTS)).orElse(false))
+			.forEach((engine) -> mark(roomy, engine.layers().get()));
+		return firstGap(roomy).flatMap((crowded) -> free.stream()
+			.filter((engine) -> most(engine, TARGET_REQUESTS) > 0)
+			.findFirst()
+			.map((engine) -> new Placement(engine, new LayerRange(crowded.first(),
+					crowded.first() + Math.min(crowded.size(), most(engine, TARGET_REQUESTS))))));
+	}
+
 	private int room(List<EngineInstance> free) {
 		return free.stream().mapToInt((engine) -> most(engine, LEAST_REQUESTS)).sum();
 	}
@@ -220,12 +244,16 @@
 		boolean[] held = new boolean[this.profile.layers()];
 		engines.forEach((engine) -> engine.layers().ifPresent((layers) -> mark(held, layers)));
 		placements.forEach((placement) -> mark(held, placement.layers()));
+		return firstGap(held);
+	}
+
+	private static Optional<LayerRange> firstGap(boolean[] marked) {
 		int first = 0;
-		while (first < held.length && held[first]) {
+		while (first < marked.length && marked[first]) {
 			first++;
 		}
 		int end = first;
-		while (end < held.length && !held[end]) {
+		while (end < marked.length && !marked[end]) {
 			end++;
 		}
 		return (first < end) ? Optional.of(new LayerRange(first, end)) : Optional.empty();
--- a/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
@@ -54,6 +55,79 @@
 		}
 	}
 
+	/**
+	 * Fails if the path, the query or a body in chunks is changed on its way to an
+	 * upstream.
+	 */
+	@Test
+	void forwardsTargetAndBodyUnchanged() throws Exception {
+		int front = freePort();
+		int back = freePort();
+		String target = "/a%2Fb;x=1//c/../d?q=%20&r=a+b";
+		try (RelayClient client = new RelayClient();
+				RelayServer upstream = new RelayServer(new Address("127.0.0.1", back), (request, response) -> {
+					this.events.add(request.method() + " " + request.target() + " "
+							+ new String(request.body(), StandardCharsets.UTF_8));
+					response.start(new MessageHead(200, Headers.NONE, OptionalLong.of(0)));
+					response.end();
+				});
+				RelayServer server = new RelayServer(new Address("127.0.0.1", front),
+						(request, response) -> client.send(new Address("127.0.0.1", back),
+								request.withHeaders(request.headers().forwarded()), new Recorder()))) {
+			upstream.start();
+			server.start();
+			try (Socket socket = new Socket("127.0.0.1", front)) {
+				socket.getOutputStream()
+					.write(("PUT " + target + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+							+ "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+						.getBytes(StandardCharsets.UTF_8));
+				assertThat(this.events.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("PUT " + target + " abcde");
+			}
+		}
+	}
+
+	/** Fails if a client that waits for leave to send its body is never answered. */
+	@Test
+	void givesLeaveToSendBody() throws Exception {
+		int port = freePort();
+		try (RelayServer server = new RelayServer(new Address("127.0.0.1", port), (request, response) -> {
+			response.start(new MessageHead(200, Headers.NONE, OptionalLong.of(request.body().length)));
+			response.write(request.body());
+			response.end();
+		})) {
+			server.start();
+			try (Socket socket = new Socket("127.0.0.1", port)) {
+				socket.getOutputStream()
+					.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n"
+						.getBytes(StandardCharsets.UTF_8));
+				assertThat(readUntil(socket, "\r\n\r\n")).contains("100");
+				socket.getOutputStream().write("abc".getBytes(StandardCharsets.UTF_8));
+				assertThat(readUntil(socket, "abc")).contains("200");
+			}
+		}
+	}
+
+	/**
+	 * Fails if a client that never completes its request, or is idle, holds its
+	 * connection.
+	 */
+	@Test
+	void closesOverdueConnections() throws Exception {
+		int port = freePort();
+		try (RelayServer server = new RelayServer(new Address("127.0.0.1", port), (request, response) -> {
+		})) {
+			server.start();
+			try (Socket partial = new Socket("127.0.0.1", port); Socket idle = new Socket("127.0.0.1", port)) {
+				partial.getOutputStream().write("GET / HTTP/1.1\r\nHo".getBytes(StandardCharsets.UTF_8));
+				TimeUnit.MILLISECONDS.sleep(100);
+				server.closeOverdue(Duration.ofMillis(1), Duration.ofDays(1));
+				assertThat(readUntil(partial, "x")).isAnyOf("", "(reset)");
+				server.closeOverdue(Duration.ofDays(1), Duration.ofMillis(1));
+				assertThat(readUntil(idle, "x")).isAnyOf("", "(reset)");
+			}
+		}
+	}
+
 	/** Fails if work for a client that has left goes on. */
 	@Test
 	void reportsClientThatLeaves() throws Exception {
