Notice the store's return within a second

While the store does not answer, watches now wait 100 ms, with longer pauses between them. Ruled out: readiness (it follows the age of the configuration), engines (listed all the while). Test: KindFollowerTest.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindFollower.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindFollower.java
@@ -27,11 +27,17 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(KindFollower.class);
 
+	/**
+	 * Wait of a watch while the store does not answer, so that its return is noticed
+	 * within a second also if it is silent until then.
+	 */
+	private static final Duration WAIT_WHEN_LOST = Duration.ofMillis(100);
+
 	/** Shortest pause after a failed call. */
-	private static final int MIN_RETRY_MILLIS = 150;
+	private static final int MIN_RETRY_MILLIS = 250;
 
 	/** Longest pause after a failed call; all daemons come back within this time. */
-	private static final int MAX_RETRY_MILLIS = 400;
+	private static final int MAX_RETRY_MILLIS = 600;
 
 	/** Objects asked for in one page. */
 	private static final int PAGE_SIZE = 500;
@@ -110,7 +116,7 @@
 
 	private WatchResult watch(long revision) throws PeerException {
 		Freshness sent = Freshness.now(this.clock);
-		Duration wait = this.changedBefore ? this.pace.waitAfterChange() : this.pace.longestWait();
+		Duration wait = nextWait();
 		WatchResult result = this.store.watch(Set.of(this.kind), revision, wait);
 		succeeded();
 		if (result.compacted()) {
@@ -126,6 +132,13 @@
 		return result;
 	}
 
+	private Duration nextWait() {
+		if (!this.reachable) {
+			return WAIT_WHEN_LOST;
+		}
+		return this.changedBefore ? this.pace.waitAfterChange() : this.pace.longestWait();
+	}
+
 	private void succeeded() {
 		if (!this.reachable) {
 			this.reachable = true;
