--- a/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/RouterMain.java
+++ b/mulberrycross-daemon/src/main/java/org/mulberrycross/daemon/RouterMain.java
@@ -1,19 +1,10 @@
 package org.mulberrycross.daemon;
 
 import java.io.IOException;
-import java.nio.file.Path;
-
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.Option;
-import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
+import org.mulberrycross.router.DaemonCommand;
 import org.mulberrycross.router.Router;
 import org.mulberrycross.router.RouterSettings;
-import org.mulberrycross.router.SettingsException;
 import org.mulberrycross.router.SettingsReader;
 
 /**
@@ -21,12 +12,6 @@
  */
 public final class RouterMain {
 
-	private static final Logger logger = LoggerFactory.getLogger(RouterMain.class);
-
-	private static final int EXIT_USAGE = 2;
-
-	private static final int EXIT_FAILURE = 1;
-
 	private RouterMain() {
 	}
 
@@ -37,27 +22,7 @@
 	 */
 	public static void main(String[] arguments) {
 		LogSetup.bridge();
-		Options options = new Options()
-			.addOption(Option.builder("s").longOpt("settings").hasArg().required().desc("settings file").get());
-		try {
-			CommandLine line = new DefaultParser().parse(options, arguments);
-			run(SettingsReader.read(Path.of(line.getOptionValue("settings"))));
-		}
-		catch (ParseException ex) {
-			System.err.println(ex.getMessage());
-			System.exit(EXIT_USAGE);
-		}
-		catch (SettingsException ex) {
-			ex.faults().forEach(System.err::println);
-			System.exit(EXIT_USAGE);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-		catch (IOException ex) {
-			logger.error("daemon cannot start", ex);
-			System.exit(EXIT_FAILURE);
-		}
+		DaemonCommand.run(arguments, (file) -> run(SettingsReader.read(file)));
 	}
 
 	private static void run(RouterSettings settings) throws IOException, InterruptedException {
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
@@ -2,19 +2,23 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * Decides which layers engines are to hold. Every data centre gets as many whole copies
  * of the model as fit beside the memory that requests need, each on the fastest engines
  * that are left; the others stay empty, and take over the layers of engines that are
- * lost. An engine that holds layers is only ever asked for more of them, so that an order
- * never takes away the last copy of a layer. Immutable and thread-safe.
+ * lost, whether or not other engines hold them as well. An engine that holds layers is
+ * only ever asked for more of them, so that an order never takes away the last copy of a
+ * layer. Immutable and thread-safe.
  */
 public final class LayerPlanner {
 
@@ -29,10 +33,17 @@
 	private static final double LEAST_REQUESTS = 20;
 
 	/**
-	 * Usual requests that an engine has memory for if its layers need no second holder.
+	 * Usual requests for which the holders of a layer have memory together at least, as
+	 * long as there are empty engines.
 	 */
 	private static final double ROOMY_REQUESTS = 40;
 
+	/**
+	 * Share of the capacity of well-held layers below which a layer gets another holder.
+	 * One copy of four may be lost before; with two copies, the loss of one halves it.
+	 */
+	private static final double WEAK_SHARE = 0.75;
+
 	/** Step by which the target is lowered until a copy fits. */
 	private static final double TARGET_STEP = 0.8;
 
@@ -184,26 +195,44 @@
 			free.remove(next.get().engine());
 			hole = firstHole(engines, placements);
 		}
-		if (placements.isEmpty()) {
-			relieve(engines, free).ifPresent(placements::add);
-		}
+		placements.addAll(reinforce(engines, free, placements));
 		return placements;
 	}
 
-	// Places an empty engine, such as one that came back, beside engines that took over
-	// so many
-	// layers that little memory is left for requests.
-	private Optional<Placement> relieve(List<EngineInstance> engines, List<EngineInstance> free) {
-		boolean[] roomy = new boolean[this.profile.layers()];
+	// Places empty engines, such as ones that came back after a crash, beside the layers
+	// that have lost
+	// the most capacity.
+	private List<Placement> reinforce(List<EngineInstance> engines, List<EngineInstance> free,
+			List<Placement> ordered) {
+		LayerCapacity capacity = new LayerCapacity(this.profile, TARGET_REQUESTS);
+		Set<EngineInstance> changing = ordered.stream().map(Placement::engine).collect(Collectors.toSet());
 		engines.stream()
-			.filter((
-					engine) -> engine.layers().map((held) -> held.size() <= most(engine, ROOMY_REQUESTS)).orElse(false))
-			.forEach((engine) -> mark(roomy, engine.layers().get()));
-		return firstGap(roomy).flatMap((crowded) -> free.stream()
-			.filter((engine) -> most(engine, TARGET_REQUESTS) > 0)
-			.findFirst()
-			.map((engine) -> new Placement(engine, new LayerRange(crowded.first(),
-					crowded.first() + Math.min(crowded.size(), most(engine, TARGET_REQUESTS))))));
+			.filter((engine) -> !changing.contains(engine))
+			.forEach((engine) -> engine.layers().ifPresent((held) -> capacity.add(engine, held)));
+		ordered.forEach((placement) -> capacity.add(placement.engine(), placement.layers()));
+		List<EngineInstance> left = new ArrayList<>(
+				free.stream().filter((engine) -> most(engine, TARGET_REQUESTS) > 0).toList());
+		List<Placement> placements = new ArrayList<>();
+		Optional<LayerRange> weak = capacity.weakest(WEAK_SHARE, ROOMY_REQUESTS);
+		while (weak.isPresent() && !left.isEmpty()) {
+			EngineInstance engine = smallestFor(weak.get(), left);
+			int size = Math.min(weak.get().size(), most(engine, TARGET_REQUESTS));
+			LayerRange layers = new LayerRange(weak.get().first(), weak.get().first() + size);
+			capacity.add(engine, layers);
+			placements.add(new Placement(engine, layers));
+			left.remove(engine);
+			weak = capacity.weakest(WEAK_SHARE, ROOMY_REQUESTS);
+		}
+		return placements;
+	}
+
+	// Returns the smallest engine that takes all of the layers, or else the largest one.
+	private EngineInstance smallestFor(LayerRange layers, List<EngineInstance> free) {
+		Comparator<EngineInstance> smallest = Comparator.comparingInt((engine) -> most(engine, TARGET_REQUESTS));
+		return free.stream()
+			.filter((engine) -> most(engine, TARGET_REQUESTS) >= layers.size())
+			.min(smallest.thenComparing(fastestFirst()))
+			.orElseGet(() -> Collections.max(free, smallest));
 	}
 
 	private int room(List<EngineInstance> free) {
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
@@ -1,14 +1,17 @@
 package org.mulberrycross.engine;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /**
  * Finds the path with the least expected time for a request. Immutable and thread-safe.
@@ -78,86 +81,128 @@
 		return (steps + reading) / this.profile.layers();
 	}
 
-	// Finds the cheapest chain over layer boundaries. best[b][c] is the cheapest way to
-	// have run the
-	// layers below b, with candidate c last.
+	// Finds the cheapest chain over layer boundaries. A boundary keeps the cheapest chain
+	// for each data
+	// centre, so that the work grows with the engines and not with the pairs of them.
 	private Optional<EnginePath> shortest(List<Candidate> candidates, double hopMillis) {
 		int layers = this.profile.layers();
-		int count = candidates.size();
-		double[][] best = new double[layers + 1][count];
-		int[][] from = new int[layers + 1][count];
-		int[][] previous = new int[layers + 1][count];
-		int[][] length = new int[layers + 1][count];
-		for (double[] row : best) {
-			Arrays.fill(row, Double.POSITIVE_INFINITY);
-		}
+		Map<Integer, List<Candidate>> byEnd = candidates.stream()
+			.collect(Collectors.groupingBy((candidate) -> candidate.layers().end()));
+		List<Boundary> boundaries = new ArrayList<>(layers + 1);
+		boundaries.add(new Boundary(true));
 		for (int end = 1; end <= layers; end++) {
-			for (int c = 0; c < count; c++) {
-				Candidate candidate = candidates.get(c);
-				// Ranges are used up to their own end, or to the end of the model.
-				if (candidate.layers().end() != end) {
-					continue;
-				}
-				for (int start = candidate.layers().first(); start < end; start++) {
-					double own = candidate.layerMillis() * (end - start) + candidate.waitMillis() + hopMillis;
-					if (start == 0) {
-						if (own < best[end][c]) {
-							best[end][c] = own;
-							from[end][c] = 0;
-							previous[end][c] = -1;
-							length[end][c] = 1;
-						}
-						continue;
-					}
-					for (int p = 0; p < count; p++) {
-						if (p == c || best[start][p] == Double.POSITIVE_INFINITY || length[start][p] >= MAX_STAGES) {
-							continue;
-						}
-						double cost = best[start][p] + own + crossing(candidates.get(p), candidate);
-						if (cost < best[end][c]) {
-							best[end][c] = cost;
-							from[end][c] = start;
-							previous[end][c] = p;
-							length[end][c] = length[start][p] + 1;
-						}
-					}
-				}
+			Boundary boundary = new Boundary(false);
+			for (Candidate candidate : byEnd.getOrDefault(end, List.of())) {
+				cheapest(candidate, boundaries, hopMillis).ifPresent(boundary::offer);
 			}
+			boundaries.add(boundary);
 		}
-		int last = -1;
-		for (int c = 0; c < count; c++) {
-			if (best[layers][c] < Double.POSITIVE_INFINITY && (last < 0 || best[layers][c] < best[layers][last])) {
-				last = c;
+		return boundaries.get(layers).cheapest().map(Chain::path);
+	}
+
+	// Returns the cheapest chain that ends with an engine, which runs up to its own end.
+	private static Optional<Chain> cheapest(Candidate last, List<Boundary> boundaries, double hopMillis) {
+		double least = Double.POSITIVE_INFINITY;
+		int start = -1;
+		for (int first = last.layers().first(); first < last.layers().end(); first++) {
+			double millis = boundaries.get(first).millisTo(last.dataCentre())
+					+ last.layerMillis() * (last.layers().end() - first);
+			if (millis < least) {
+				least = millis;
+				start = first;
 			}
 		}
-		return (last >= 0) ? Optional.of(path(candidates, from, previous, last)) : Optional.empty();
+		if (start < 0) {
+			return Optional.empty();
+		}
+		return Optional.of(new Chain(last, start, boundaries.get(start).chainTo(last.dataCentre()),
+				least + last.waitMillis() + hopMillis));
 	}
 
-	private static double crossing(Candidate left, Candidate right) {
-		return left.engine().upstream().dataCentre().equals(right.engine().upstream().dataCentre()) ? 0
-				: CROSSING_MILLIS;
+	/**
+	 * An engine with the time that it takes for one layer of the request, and the time
+	 * until it comes to the request.
+	 */
+	private record Candidate(EngineInstance engine, LayerRange layers, double layerMillis, double waitMillis) {
+
+		String dataCentre() {
+			return this.engine.upstream().dataCentre();
+		}
+
 	}
 
-	private EnginePath path(List<Candidate> candidates, int[][] from, int[][] previous, int last) {
-		List<PathStage> stages = new ArrayList<>();
-		int end = this.profile.layers();
-		int c = last;
-		while (c >= 0) {
-			int start = from[end][c];
-			int before = previous[end][c];
-			stages.add(new PathStage(candidates.get(c).engine(), new LayerRange(start, end)));
-			end = start;
-			c = before;
+	/**
+	 * Engines that run all layers below a boundary: the last one from {@code start} on,
+	 * the others before it.
+	 */
+	private record Chain(Candidate last, int start, Optional<Chain> before, double millis, int length) {
+
+		Chain(Candidate last, int start, Optional<Chain> before, double millis) {
+			this(last, start, before, millis, before.map(Chain::length).orElse(0) + 1);
+		}
+
+		// Returns the time including the step to an engine of a data centre.
+		double millisTo(String dataCentre) {
+			return this.millis + (this.last.dataCentre().equals(dataCentre) ? 0 : CROSSING_MILLIS);
+		}
+
+		EnginePath path() {
+			List<PathStage> stages = new ArrayList<>();
+			Optional<Chain> chain = Optional.of(this);
+			while (chain.isPresent()) {
+				Candidate engine = chain.get().last();
+				stages.add(new PathStage(engine.engine(), new LayerRange(chain.get().start(), engine.layers().end())));
+				chain = chain.get().before();
+			}
+			Collections.reverse(stages);
+			return new EnginePath(stages);
 		}
-		Collections.reverse(stages);
-		return new EnginePath(stages);
+
 	}
 
 	/**
-	 * An engine with the time that it takes for one layer of the request, and the time
-	 * until it comes to the request.
+	 * The cheapest chains that end at a boundary between layers.
 	 */
-	private record Candidate(EngineInstance engine, LayerRange layers, double layerMillis, double waitMillis) {
+	private static final class Boundary {
+
+		private final boolean first;
+
+		private final Map<String, Chain> byDataCentre = new HashMap<>();
+
+		/** Cheapest chain for an engine of a data centre that follows. */
+		private final Map<String, Optional<Chain>> next = new HashMap<>();
+
+		Boundary(boolean first) {
+			this.first = first;
+		}
+
+		void offer(Chain chain) {
+			this.byDataCentre.merge(chain.last().dataCentre(), chain,
+					(left, right) -> (right.millis() < left.millis()) ? right : left);
+		}
+
+		Optional<Chain> cheapest() {
+			return this.byDataCentre.values().stream().min(Comparator.comparingDouble(Chain::millis));
+		}
+
+		// Returns the chain that an engine of a data centre follows best, if any.
+		Optional<Chain> chainTo(String dataCentre) {
+			return this.next.computeIfAbsent(dataCentre,
+					(name) -> this.byDataCentre.values()
+						.stream()
+						.filter((chain) -> chain.length() < MAX_STAGES)
+						.min(Comparator.comparingDouble((chain) -> chain.millisTo(name))));
+		}
+
+		// Returns the time until an engine of a data centre can follow, infinite if
+		// never.
+		double millisTo(String dataCentre) {
+			if (this.first) {
+				return 0;
+			}
+			Optional<Chain> chain = chainTo(dataCentre);
+			return chain.isPresent() ? chain.get().millisTo(dataCentre) : Double.POSITIVE_INFINITY;
+		}
 
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -202,10 +202,14 @@
 		String outcome;
 		try {
 			taken = this.client.ordersTaken(placement.engine(), ORDER_TIMEOUT);
-			if (taken.isEmpty() || !grant.lasts(ORDER_TIMEOUT, this.clock.nanos())) {
+			if (!grant.lasts(ORDER_TIMEOUT, this.clock.nanos())) {
 				return;
 			}
-			reply = Optional.of(this.client.order(placement, taken.getAsLong(), grant.fencing(), ORDER_TIMEOUT));
+			// An engine that carries out an order takes no other one, so it is asked
+			// again
+			// later.
+			reply = Optional.of(taken.isEmpty() ? PlacementReply.CONFLICT
+					: this.client.order(placement, taken.getAsLong(), grant.fencing(), ORDER_TIMEOUT));
 			outcome = reply.get().name();
 			if (reply.get() == PlacementReply.FENCED) {
 				this.fenced = true;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -48,9 +46,6 @@
 	/** When a client may come back while a part of the model is being loaded. */
 	private static final Duration RETRY_AFTER_NO_PATH = Duration.ofMillis(1000);
 
-	/** When a client may come back to another daemon, or after a short overload. */
-	private static final Duration RETRY_AFTER_BUSY = Duration.ofMillis(300);
-
 	/**
 	 * Time within which an engine that has no room says so; a dead one is silent longer.
 	 */
@@ -89,12 +84,10 @@
 
 	private final RequestLog requestLog;
 
-	private final Set<RelayExchange> exchanges = new LinkedHashSet<>();
+	private final OpenRequests requests;
 
 	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
 
-	private volatile int open;
-
 	RelayControl(ControlThread control, MonotonicClock clock, RandomGenerator random, RelaySettings settings,
 			MessageFormat format, RelayClient client, StallProbes stallProbes, RelayMetrics metrics) {
 		this.control = Objects.requireNonNull(control, "control");
@@ -107,6 +100,7 @@
 		this.choice = new UpstreamChoice(this.directory, this.health, settings.dataCentre(), random, UNKNOWN_DAEMONS);
 		this.retries = new RetryBudgets(settings, UNKNOWN_DAEMONS);
 		this.requestLog = new RequestLog(logger, clock);
+		this.requests = new OpenRequests(this.choice, metrics, this.requestLog, clock);
 	}
 
 	// Returns whether the balancer should send new connections.
@@ -116,7 +110,7 @@
 
 	// Returns the number of requests without a whole answer.
 	int open() {
-		return this.open;
+		return this.requests.count();
 	}
 
 	UpstreamDirectory directory() {
@@ -179,14 +173,13 @@
 		RelayExchange exchange = new RelayExchange(request, call, response, Freshness.now(this.clock));
 		response.onClientGone(() -> clientGone(exchange));
 		if (!this.control.offer(() -> begin(exchange))) {
-			OwnAnswer.notRun(RETRY_AFTER_BUSY, "too many requests wait for a decision").send(response);
+			OwnAnswer.notRun(OpenRequests.RETRY_AFTER_BUSY, "too many requests wait for a decision").send(response);
 			this.metrics.refused();
 		}
 	}
 
 	private void begin(RelayExchange exchange) {
-		this.exchanges.add(exchange);
-		this.open = this.exchanges.size();
+		this.requests.begin(exchange);
 		admitOrWait(exchange);
 	}
 
@@ -198,11 +191,10 @@
 		}
 		Optional<OwnAnswer> refusal = this.admission.admit(exchange);
 		if (refusal.isPresent()) {
-			refusal.get().send(exchange.response());
-			finish(exchange, "rejected " + refusal.get().status() + ": " + refusal.get().reason());
+			this.requests.reject(exchange, refusal.get());
 			return;
 		}
-		this.retries.earned(exchange.rule());
+		this.retries.requested(exchange.rule(), this.clock.nanos());
 		dispatchOrWait(exchange);
 	}
 
@@ -216,7 +208,7 @@
 			this.waiting.add(exchange);
 			return;
 		}
-		giveUp(exchange, "no upstream can take the request", RETRY_AFTER_NO_PATH);
+		this.requests.giveUp(exchange, "no upstream can take the request", RETRY_AFTER_NO_PATH);
 	}
 
 	// Sends the request to the best upstream. Returns false if there is none.
@@ -257,7 +249,7 @@
 				return;
 			}
 			attempt.upstreams().forEach(this.health::succeeded);
-			finish(exchange, "complete");
+			this.requests.finish(exchange, "complete");
 		});
 	}
 
@@ -273,13 +265,14 @@
 			if (answer.notRun()) {
 				exchange.countRun(-1);
 				blame(attempt, answer, reason);
-				retryOr(exchange, reason, () -> giveUp(exchange, reason, RETRY_AFTER_BUSY));
+				retryOr(exchange, reason, () -> this.requests.giveUp(exchange, reason, OpenRequests.RETRY_AFTER_BUSY));
 				return;
 			}
 			if (head.status() >= 500) {
-				exchange.failedUpstreams().addAll(attempt.upstreams());
+				exchange.failedUpstreams().add(attempt.forwarding().upstream().id());
+				exchange.suspectedUpstreams().addAll(attempt.upstreams());
 			}
-			Runnable relay = () -> relayFailure(attempt, head, answer, body);
+			Runnable relay = () -> this.requests.relayFailure(attempt, head, answer, body);
 			if (exchange.rule().repeatable() && head.status() >= 500 && exchange.runs() < exchange.rule().maxRuns()) {
 				retryOr(exchange, reason, relay);
 				return;
@@ -302,27 +295,11 @@
 		this.health.failed(id, reason, now);
 	}
 
-	// Passes on an upstream's failure, unless its status would promise too much.
-	private void relayFailure(RelayAttempt attempt, MessageHead head, UpstreamAnswer answer, byte[] body) {
-		RelayExchange exchange = attempt.exchange();
-		boolean promise = head.status() == 429 || head.status() == 503 || head.status() == 408 || head.status() == 421;
-		if (exchange.started()) {
-			exchange.response().abort();
-		}
-		else if (promise || !answer.signed()) {
-			OwnAnswer.of(502, "upstream failed with status " + head.status()).send(exchange.response());
-		}
-		else {
-			exchange.answer(attempt, head, body);
-		}
-		finish(exchange, "upstream status " + head.status());
-	}
-
 	@Override
 	public void broken(RelayAttempt attempt, String reason) {
 		this.control.post(() -> {
 			if (isCurrent(attempt)) {
-				failed(attempt, reason, attempt.wasSent());
+				failed(attempt, Set.of(attempt.forwarding().upstream().id()), reason, attempt.wasSent());
 			}
 		});
 	}
@@ -331,29 +308,31 @@
 		return !attempt.exchange().finished() && attempt.exchange().current() == attempt;
 	}
 
-	// Handles an attempt that ended without an answer.
-	private void failed(RelayAttempt attempt, String reason, boolean mayHaveRun) {
+	// Handles an attempt that ended without an answer, by the fault of some upstreams if
+	// they are known.
+	private void failed(RelayAttempt attempt, Set<String> faulty, String reason, boolean mayHaveRun) {
 		RelayExchange exchange = attempt.exchange();
 		attempt.cancel();
 		this.choice.ended(attempt);
-		exchange.failedUpstreams().addAll(attempt.upstreams());
-		this.health.failed(attempt.forwarding().upstream().id(), reason, this.clock.nanos());
+		exchange.failedUpstreams().addAll(faulty);
+		exchange.suspectedUpstreams().addAll(attempt.upstreams());
+		faulty.forEach((id) -> this.health.failed(id, reason, this.clock.nanos()));
 		if (!mayHaveRun) {
 			exchange.countRun(-1);
-			retryOr(exchange, reason, () -> giveUp(exchange, reason, RETRY_AFTER_BUSY));
+			retryOr(exchange, reason, () -> this.requests.giveUp(exchange, reason, OpenRequests.RETRY_AFTER_BUSY));
 			return;
 		}
 		if (exchange.rule().repeatable() && exchange.runs() < exchange.rule().maxRuns()) {
-			retryOr(exchange, reason, () -> giveUp(exchange, reason, RETRY_AFTER_BUSY));
+			retryOr(exchange, reason, () -> this.requests.giveUp(exchange, reason, OpenRequests.RETRY_AFTER_BUSY));
 			return;
 		}
-		giveUp(exchange, reason, RETRY_AFTER_BUSY);
+		this.requests.giveUp(exchange, reason, OpenRequests.RETRY_AFTER_BUSY);
 	}
 
 	private void retryOr(RelayExchange exchange, String reason, Runnable otherwise) {
-		boolean streamOver = exchange.started() && !exchange.stream();
-		boolean allowed = !streamOver && exchange.tries() < MAX_TRIES && this.retries.take(exchange.rule());
-		if (!allowed) {
+		Optional<String> refusal = refusalToRetry(exchange);
+		if (refusal.isPresent()) {
+			this.requestLog.notSentAgain(exchange, reason, refusal.get());
 			otherwise.run();
 			return;
 		}
@@ -364,17 +343,18 @@
 		}
 	}
 
-	// Ends a request that cannot be served.
-	private void giveUp(RelayExchange exchange, String reason, Duration retryAfter) {
-		if (exchange.started()) {
-			exchange.response().abort();
-			finish(exchange, "broken off: " + reason);
-			return;
+	// Takes a retry, or returns why the request is not sent again.
+	private Optional<String> refusalToRetry(RelayExchange exchange) {
+		if (exchange.started() && !exchange.stream()) {
+			return Optional.of("a part of the answer was sent");
+		}
+		if (exchange.tries() >= MAX_TRIES) {
+			return Optional.of("no try is left");
+		}
+		if (!this.retries.take(exchange.rule(), this.clock.nanos())) {
+			return Optional.of("the retry budget is used up");
 		}
-		boolean neverRan = exchange.runs() == 0;
-		OwnAnswer answer = neverRan ? OwnAnswer.notRun(retryAfter, reason) : OwnAnswer.of(502, reason);
-		answer.send(exchange.response());
-		finish(exchange, (neverRan ? "refused: " : "failed: ") + reason);
+		return Optional.empty();
 	}
 
 	private void clientGone(RelayExchange exchange) {
@@ -387,7 +367,7 @@
 			if (last != null) {
 				last.cancel();
 			}
-			finish(exchange, "client left");
+			this.requests.finish(exchange, "client left");
 		});
 	}
 
@@ -409,7 +389,7 @@
 				dispatchOrWait(exchange);
 			}
 		}
-		for (RelayExchange exchange : List.copyOf(this.exchanges)) {
+		for (RelayExchange exchange : this.requests.all()) {
 			if (exchange.rule() != null) {
 				check(exchange, now);
 			}
@@ -418,7 +398,7 @@
 
 	private void check(RelayExchange exchange, long now) {
 		if (exchange.remaining(now).isNegative()) {
-			expire(exchange);
+			this.requests.expire(exchange);
 			return;
 		}
 		RelayAttempt attempt = exchange.current();
@@ -427,7 +407,8 @@
 		}
 		if (AttemptTimeouts.unconnected(attempt, now)) {
 			attempt.cancel();
-			failed(attempt, "no connection within " + AttemptTimeouts.CONNECT.toMillis() + " ms", attempt.wasSent());
+			failed(attempt, Set.of(attempt.forwarding().upstream().id()),
+					"no connection within " + AttemptTimeouts.CONNECT.toMillis() + " ms", attempt.wasSent());
 		}
 		if (!attempt.wasSent()) {
 			return;
@@ -436,7 +417,11 @@
 			this.stallProbes.probe(attempt.forwarding().path().get().first(), now, this::stalled);
 		}
 		if (AttemptTimeouts.silent(exchange, attempt, now) && mayRunAgain(exchange)) {
-			failed(attempt, "silent for too long", true);
+			// On a path, any of the engines may be the cause; reports of stalls tell
+			// which.
+			Set<String> faulty = attempt.forwarding().path().isPresent() ? Set.of()
+					: Set.of(attempt.forwarding().upstream().id());
+			failed(attempt, faulty, "silent for too long", true);
 		}
 	}
 
@@ -444,7 +429,7 @@
 	// waits.
 	private boolean mayRunAgain(RelayExchange exchange) {
 		return exchange.rule().repeatable() && exchange.runs() < exchange.rule().maxRuns()
-				&& exchange.tries() < MAX_TRIES && this.retries.has(exchange.rule());
+				&& exchange.tries() < MAX_TRIES && this.retries.has(exchange.rule(), this.clock.nanos());
 	}
 
 	private void stalled(EngineInstance first, Set<Address> addresses) {
@@ -458,45 +443,13 @@
 			return;
 		}
 		this.health.stalled(id.get(), this.clock.nanos());
-		for (RelayExchange exchange : List.copyOf(this.exchanges)) {
+		for (RelayExchange exchange : this.requests.all()) {
 			RelayAttempt attempt = exchange.current();
 			if (attempt != null && !exchange.finished() && attempt.upstreams().contains(id.get())
 					&& mayRunAgain(exchange)) {
-				failed(attempt, "engine " + id.get() + " is stalled", attempt.wasSent());
+				failed(attempt, Set.of(id.get()), "engine " + id.get() + " is stalled", attempt.wasSent());
 			}
 		}
 	}
 
-	private void expire(RelayExchange exchange) {
-		RelayAttempt attempt = exchange.current();
-		if (attempt != null) {
-			attempt.cancel();
-		}
-		if (exchange.started()) {
-			exchange.response().abort();
-		}
-		else if (exchange.runs() == 0) {
-			OwnAnswer.notRun(RETRY_AFTER_BUSY, "no upstream in time").send(exchange.response());
-		}
-		else {
-			OwnAnswer.of(504, "no answer in time").send(exchange.response());
-		}
-		finish(exchange, "timed out");
-	}
-
-	private void finish(RelayExchange exchange, String outcome) {
-		if (exchange.finished()) {
-			return;
-		}
-		RelayAttempt attempt = exchange.current();
-		if (attempt != null) {
-			this.choice.ended(attempt);
-		}
-		exchange.finish();
-		this.exchanges.remove(exchange);
-		this.open = this.exchanges.size();
-		this.metrics.ended(outcome, exchange.age(this.clock.nanos()));
-		this.requestLog.ended(exchange, outcome);
-	}
-
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -36,6 +36,8 @@
 
 	private final Set<String> failedUpstreams = new HashSet<>();
 
+	private final Set<String> suspectedUpstreams = new HashSet<>();
+
 	private RouteRule rule;
 
 	private Optional<String> team = Optional.empty();
@@ -50,6 +52,8 @@
 
 	private boolean started;
 
+	private boolean closed;
+
 	private volatile long firstDataNanos;
 
 	RelayExchange(RelayRequest request, ClientCall call, ResponseWriter response, Freshness arrived) {
@@ -106,10 +110,17 @@
 		return Duration.ofNanos(nowNanos - this.arrivedNanos);
 	}
 
+	// Returns the upstreams that failed the request.
 	Set<String> failedUpstreams() {
 		return this.failedUpstreams;
 	}
 
+	// Returns the upstreams that took part in an attempt that failed, of which one may be
+	// the cause.
+	Set<String> suspectedUpstreams() {
+		return this.suspectedUpstreams;
+	}
+
 	int tries() {
 		return this.tries;
 	}
@@ -159,7 +170,7 @@
 	// Passes on the whole events of a part of a stream. @return whether the stream is
 	// still in order
 	synchronized boolean forwardEvents(RelayAttempt attempt, MessageHead head, byte[] part) {
-		if (this.current != attempt) {
+		if (!writes(attempt)) {
 			return true;
 		}
 		byte[] whole = this.events.accept(part);
@@ -172,7 +183,7 @@
 
 	// Ends a stream if it ended with a whole event. @return whether it did
 	synchronized boolean endEvents(RelayAttempt attempt, MessageHead head) {
-		if (this.current != attempt) {
+		if (!writes(attempt)) {
 			return true;
 		}
 		if (this.events.remainder().length > 0) {
@@ -185,13 +196,29 @@
 
 	// Sends a whole answer.
 	synchronized void answer(RelayAttempt attempt, MessageHead head, byte[] body) {
-		if (this.current == attempt && !this.started) {
+		if (writes(attempt) && !this.started) {
 			start(new MessageHead(head.status(), head.headers(), OptionalLong.of(body.length)));
 			this.response.write(body);
 			this.response.end();
 		}
 	}
 
+	// Ends the answer: with an own one if no part of it was sent, or else by breaking it
+	// off. No attempt writes after it. @return whether the own answer was sent
+	synchronized boolean end(OwnAnswer answer) {
+		this.closed = true;
+		if (this.started) {
+			this.response.abort();
+			return false;
+		}
+		answer.send(this.response);
+		return true;
+	}
+
+	private boolean writes(RelayAttempt attempt) {
+		return this.current == attempt && !this.closed;
+	}
+
 	private void start(MessageHead head) {
 		if (!this.started) {
 			this.started = true;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettings.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettings.java
@@ -19,9 +19,10 @@
  * @param retryRatio the requests that all daemons may send again, relative to the
  * requests for a service
  * @param retryBurst the requests that all daemons may send again beyond the ratio
+ * @param retryWindow the span of time in which both are counted, not null
  */
 public record RelaySettings(String name, String dataCentre, Address callers, Address readiness, Address platform,
-		Duration revocation, Duration stopGrace, double retryRatio, double retryBurst) {
+		Duration revocation, Duration stopGrace, double retryRatio, double retryBurst, Duration retryWindow) {
 
 	/**
 	 * Creates settings.
@@ -34,6 +35,7 @@
 	 * @param stopGrace the time from the signal to stop to the end, not null
 	 * @param retryRatio the requests that may be sent again, relative to all
 	 * @param retryBurst the requests that may be sent again beyond the ratio
+	 * @param retryWindow the span of time in which both are counted, not null
 	 */
 	public RelaySettings {
 		Objects.requireNonNull(name, "name");
@@ -43,6 +45,7 @@
 		Objects.requireNonNull(platform, "platform");
 		Objects.requireNonNull(revocation, "revocation");
 		Objects.requireNonNull(stopGrace, "stopGrace");
+		Objects.requireNonNull(retryWindow, "retryWindow");
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
@@ -25,6 +25,12 @@
 
 	private static final double MAX_RETRY_BURST = 1e6;
 
+	private static final double DEFAULT_RETRY_WINDOW_SECONDS = 10;
+
+	private static final double MAX_RETRY_WINDOW_SECONDS = 3600;
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
 	private RelaySettingsReader() {
 	}
 
@@ -49,10 +55,16 @@
 		double grace = file.decimal("bounds.stop_grace_s", DEFAULT_STOP_GRACE_SECONDS, 1, MAX_STOP_GRACE_SECONDS);
 		double ratio = file.decimal("bounds.retry_ratio", DEFAULT_RETRY_RATIO, 0, 1);
 		double burst = file.decimal("bounds.retry_burst", DEFAULT_RETRY_BURST, 0, MAX_RETRY_BURST);
+		double window = file.decimal("bounds.retry_window_s", DEFAULT_RETRY_WINDOW_SECONDS, 1,
+				MAX_RETRY_WINDOW_SECONDS);
 		file.finish();
 		return new RelaySettings(name.orElseThrow(), dataCentre.orElseThrow(), callers.orElseThrow(),
-				readiness.orElseThrow(), platform.orElseThrow(), revocation, Duration.ofMillis((long) (grace * 1000)),
-				ratio, burst);
+				readiness.orElseThrow(), platform.orElseThrow(), revocation, seconds(grace), ratio, burst,
+				seconds(window));
+	}
+
+	private static Duration seconds(double number) {
+		return Duration.ofMillis((long) (number * MILLIS_PER_SECOND));
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -50,6 +50,15 @@
 			.log("request is sent again");
 	}
 
+	void notSentAgain(RelayExchange exchange, String reason, String refusal) {
+		line().addKeyValue("request", exchange.call().id())
+			.addKeyValue("reason", reason)
+			.addKeyValue("runs", exchange.runs())
+			.addKeyValue("tries", exchange.tries())
+			.addKeyValue("why", refusal)
+			.log("request is not sent again");
+	}
+
 	void ended(RelayExchange exchange, String outcome) {
 		long first = exchange.firstDataNanos();
 		line().addKeyValue("request", exchange.call().id())
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryBudgets.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryBudgets.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.mulberrycross.RetryBudget;
 import org.mulberrycross.caller.RouteRule;
 import org.mulberrycross.caller.WeightedService;
 
@@ -24,10 +23,10 @@
 	 */
 	private static final double BURST_SHARE = 0.5;
 
-	/** Least ratio that the budget takes; stands for none. */
-	private static final double LEAST_RATIO = 0.001;
+	/** Least burst of a daemon, so that many daemons may repeat single requests. */
+	private static final double LEAST_BURST = 1;
 
-	private final Map<String, RetryBudget> budgets = new HashMap<>();
+	private final Map<String, RetryWindow> windows = new HashMap<>();
 
 	private RelaySettings settings;
 
@@ -40,32 +39,36 @@
 
 	void reload(RelaySettings changed) {
 		this.settings = changed;
-		this.budgets.clear();
 	}
 
 	void daemons(int count) {
-		if (this.daemons != count) {
-			this.daemons = count;
-			this.budgets.clear();
-		}
+		this.daemons = count;
 	}
 
-	void earned(RouteRule rule) {
-		rule.services().forEach((share) -> budget(share).earned());
+	// Notes a request that is sent for the first time.
+	void requested(RouteRule rule, long nowNanos) {
+		rule.services().forEach((share) -> window(share).requested(nowNanos));
 	}
 
-	boolean has(RouteRule rule) {
-		return rule.services().stream().allMatch((share) -> budget(share).hasRetry());
+	boolean has(RouteRule rule, long nowNanos) {
+		double ratio = this.settings.retryRatio() * RATIO_SHARE;
+		double burst = Math.max(LEAST_BURST, this.settings.retryBurst() * BURST_SHARE / this.daemons);
+		return rule.services()
+			.stream()
+			.allMatch((share) -> window(share).allows(this.settings.retryWindow(), ratio, burst, nowNanos));
 	}
 
-	boolean take(RouteRule rule) {
-		return has(rule) && rule.services().stream().allMatch((share) -> budget(share).tryRetry());
+	// Takes a retry, if one is left.
+	boolean take(RouteRule rule, long nowNanos) {
+		if (!has(rule, nowNanos)) {
+			return false;
+		}
+		rule.services().forEach((share) -> window(share).retried(nowNanos));
+		return true;
 	}
 
-	private RetryBudget budget(WeightedService share) {
-		return this.budgets.computeIfAbsent(share.service(),
-				(name) -> new RetryBudget(Math.max(LEAST_RATIO, this.settings.retryRatio() * RATIO_SHARE),
-						Math.max(1, this.settings.retryBurst() * BURST_SHARE / this.daemons)));
+	private RetryWindow window(WeightedService share) {
+		return this.windows.computeIfAbsent(share.service(), (name) -> new RetryWindow());
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamChoice.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamChoice.java
@@ -8,14 +8,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.ToDoubleFunction;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import org.mulberrycross.UpstreamInstance;
 import org.mulberrycross.engine.AcceleratorKind;
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.EngineProfile;
+import org.mulberrycross.engine.LayerRange;
 import org.mulberrycross.engine.PathFinder;
 import org.mulberrycross.engine.RequestTokens;
 
@@ -92,26 +94,42 @@
 	private Optional<EnginePath> path(RelayExchange exchange, String service, long nowNanos) {
 		List<EngineInstance> engines = new ArrayList<>();
 		this.directory.serving(service).forEach((entry) -> entry.engine().ifPresent(engines::add));
-		List<EngineInstance> sound = engines.stream()
-			.filter((engine) -> !exchange.failedUpstreams().contains(engine.id()))
-			.filter((engine) -> !this.health.avoided(engine.id(), nowNanos))
-			.toList();
 		EngineProfile profile = this.profiles.get(service);
-		PathFinder finder = this.finders.get(service);
-		RequestTokens tokens = tokens(exchange);
-		ToDoubleFunction<EngineInstance> unread = (engine) -> this.load.unread(engine.id()) * this.daemons;
-		return finder.find(sound, tokens, (engine) -> slowdown(profile, engine), unread, this.random)
-			.or(() -> finder.find(sound, tokens, (engine) -> 1, unread, this.random))
-			.or(() -> finder.find(engines, tokens, (engine) -> 1, unread, this.random));
+		Predicate<EngineInstance> untried = (engine) -> !exchange.failedUpstreams().contains(engine.id());
+		Predicate<EngineInstance> sound = untried.and((engine) -> !this.health.avoided(engine.id(), nowNanos));
+		Predicate<EngineInstance> unsuspected = sound
+			.and((engine) -> !exchange.suspectedUpstreams().contains(engine.id()));
+		// From the best engines to those that are a last resort.
+		Stream<Predicate<EngineInstance>> choices = Stream.of(unsuspected.and((engine) -> hasRoom(profile, engine)),
+				unsuspected, sound, untried.and((engine) -> !this.health.stalledNow(engine.id(), nowNanos)), untried);
+		return choices.map((usable) -> find(exchange, service, engines.stream().filter(usable).toList()))
+			.flatMap(Optional::stream)
+			.findFirst();
 	}
 
-	// Returns how much slower an engine is expected to be, by the memory that is in use.
-	private double slowdown(EngineProfile profile, EngineInstance engine) {
-		int layers = engine.layers().map((held) -> held.size()).orElse(0);
+	private Optional<EnginePath> find(RelayExchange exchange, String service, List<EngineInstance> engines) {
+		EngineProfile profile = this.profiles.get(service);
+		return this.finders.get(service)
+			.find(engines, tokens(exchange), (engine) -> 1 + used(profile, engine) * SLOWDOWN_WHEN_FULL,
+					(engine) -> this.load.unread(engine.id()) * this.daemons, this.random);
+	}
+
+	private boolean hasRoom(EngineProfile profile, EngineInstance engine) {
+		return used(profile, engine) < FULL;
+	}
+
+	// Returns the share of an engine that is in use: of its memory or, on an engine that
+	// takes requests from daemons, of its slots.
+	private double used(EngineProfile profile, EngineInstance engine) {
+		int layers = engine.layers().map(LayerRange::size).orElse(0);
 		double memory = profile.kind(engine).map(AcceleratorKind::memoryMb).orElse(0.0) - layers * profile.layerMb();
 		double room = memory / (profile.cacheMbPerTokenAndLayer() * Math.max(1, layers));
 		double used = this.load.tokens(engine.id()) * this.daemons / Math.max(1, room);
-		return (used < FULL) ? 1 + used * SLOWDOWN_WHEN_FULL : Double.POSITIVE_INFINITY;
+		if (engine.layers().map((held) -> held.first() > 0).orElse(true)) {
+			return used;
+		}
+		double slots = Math.max(1, engine.upstream().slots());
+		return Math.max(used, this.load.requests(engine.id()) * this.daemons / slots);
 	}
 
 	private Optional<UpstreamInstance> instance(RelayExchange exchange, String service, long nowNanos) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
@@ -31,7 +31,7 @@
 	private final Map<String, Avoidance> avoided = new HashMap<>();
 
 	void failed(String id, String reason, long nowNanos) {
-		Avoidance before = this.avoided.getOrDefault(id, new Avoidance(nowNanos, Duration.ZERO));
+		Avoidance before = this.avoided.getOrDefault(id, new Avoidance(nowNanos, Duration.ZERO, false));
 		if (nowNanos < before.untilNanos()) {
 			return;
 		}
@@ -39,7 +39,7 @@
 		if (time.compareTo(LONGEST_AVOIDANCE) > 0) {
 			time = LONGEST_AVOIDANCE;
 		}
-		this.avoided.put(id, new Avoidance(nowNanos + time.toNanos(), time));
+		this.avoided.put(id, new Avoidance(nowNanos + time.toNanos(), time, false));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
 			.addKeyValue("reason", reason)
@@ -50,7 +50,7 @@
 	// Notes that requests wait for an upstream in vain, so that it gets none for the
 	// longest time.
 	void stalled(String id, long nowNanos) {
-		this.avoided.put(id, new Avoidance(nowNanos + LONGEST_AVOIDANCE.toNanos(), LONGEST_AVOIDANCE));
+		this.avoided.put(id, new Avoidance(nowNanos + LONGEST_AVOIDANCE.toNanos(), LONGEST_AVOIDANCE, true));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
 			.addKeyValue("for_ms", LONGEST_AVOIDANCE.toMillis())
@@ -60,7 +60,11 @@
 	// Notes that an upstream has no room now, which says nothing against it.
 	void full(String id, long nowNanos) {
 		if (!avoided(id, nowNanos)) {
-			this.avoided.put(id, new Avoidance(nowNanos + FULL_AVOIDANCE.toNanos(), Duration.ZERO));
+			this.avoided.put(id, new Avoidance(nowNanos + FULL_AVOIDANCE.toNanos(), Duration.ZERO, false));
+			logger.atInfo()
+				.addKeyValue("upstream", id)
+				.addKeyValue("for_ms", FULL_AVOIDANCE.toMillis())
+				.log("upstream full");
 		}
 	}
 
@@ -73,10 +77,16 @@
 		return avoidance != null && nowNanos < avoidance.untilNanos();
 	}
 
+	// Returns whether requests wait for an upstream in vain, as far as is known.
+	boolean stalledNow(String id, long nowNanos) {
+		return avoided(id, nowNanos) && this.avoided.get(id).stalled();
+	}
+
 	/**
-	 * A time in which an upstream gets no requests.
+	 * A time in which an upstream gets no requests, unless there is no other one and it
+	 * is not stalled.
 	 */
-	private record Avoidance(long untilNanos, Duration length) {
+	private record Avoidance(long untilNanos, Duration length, boolean stalled) {
 
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/LayerPlannerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/LayerPlannerTest.java
@@ -101,6 +101,25 @@
 		}
 	}
 
+	/**
+	 * Fails if an engine that came back empty stays so although the copy that it was part
+	 * of is broken.
+	 */
+	@Test
+	void returnedEngineRestoresItsCopy() {
+		List<EngineInstance> two = new ArrayList<>();
+		for (int i = 0; i < 2; i++) {
+			two.add(TestEngines.holding("left-" + i, "large", "a", 0, 27));
+			two.add(TestEngines.holding("middle-" + i, "large", "a", 27, 55));
+		}
+		two.add(TestEngines.holding("right-0", "large", "a", 55, 80));
+		EngineInstance returned = TestEngines.empty("right-1", "large", "a");
+		two.add(returned);
+		List<Placement> placements = this.planner.plan(two);
+		assertThat(placements).containsExactly(new Placement(returned, new LayerRange(55, 80)));
+		assertThat(this.planner.plan(apply(two, placements))).isEmpty();
+	}
+
 	/**
 	 * Fails if an order takes away a layer, or asks for more than the memory, over many
 	 * losses.
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/PathFinderTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/PathFinderTest.java
@@ -53,6 +53,57 @@
 		assertThat(next).isEqualTo(80);
 	}
 
+	/** Fails if a path is chosen although another one takes less time. */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void findsPathWithLeastTime(long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		List<EngineInstance> engines = new ArrayList<>();
+		List<String> kinds = List.of("large", "medium", "slow");
+		for (int i = 0; i < 12; i++) {
+			int first = 20 * random.nextInt(4);
+			int end = Math.min(80, first + 20 * (1 + random.nextInt(2)));
+			engines
+				.add(TestEngines.holding("e" + i, kinds.get(random.nextInt(3)), "dc-" + random.nextInt(3), first, end));
+		}
+		// Without the spread on expected times.
+		Optional<EnginePath> path = this.finder.find(engines, TOKENS, (engine) -> 1, (engine) -> 0, () -> 0);
+		double least = leastMillis(engines, List.of(), 0);
+		assertThat(path.isPresent()).isEqualTo(Double.isFinite(least));
+		path.ifPresent((found) -> assertThat(millis(found.stages())).isWithin(1e-6).of(least));
+	}
+
+	private static double leastMillis(List<EngineInstance> engines, List<PathStage> stages, int next) {
+		if (next == 80) {
+			return millis(stages);
+		}
+		double least = Double.POSITIVE_INFINITY;
+		for (EngineInstance engine : engines) {
+			LayerRange held = engine.layers().orElseThrow();
+			if (held.first() <= next && next < held.end()) {
+				List<PathStage> longer = new ArrayList<>(stages);
+				longer.add(new PathStage(engine, new LayerRange(next, held.end())));
+				least = Math.min(least, leastMillis(engines, longer, held.end()));
+			}
+		}
+		return least;
+	}
+
+	private static double millis(List<PathStage> stages) {
+		double millis = 0;
+		String before = stages.get(0).engine().upstream().dataCentre();
+		for (PathStage stage : stages) {
+			AcceleratorKind kind = TestEngines.PROFILE.kind(stage.engine()).orElseThrow();
+			double steps = TOKENS.output() * TestEngines.PROFILE.stepMillis() * kind.stepFactor();
+			double reading = TOKENS.prompt() / TestEngines.PROFILE.readTokensPerMillis() * kind.readFactor();
+			String dataCentre = stage.engine().upstream().dataCentre();
+			millis += (steps + reading) * stage.layers().size() / 80 + 0.3 * (TOKENS.output() + 1)
+					+ (dataCentre.equals(before) ? 0 : 20_000);
+			before = dataCentre;
+		}
+		return millis;
+	}
+
 	/** Fails if a path is made up although a layer has no engine. */
 	@Test
 	void noPathWithoutAllLayers() {
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayExchangeTest.java
@@ -0,0 +1,83 @@
+package org.mulberrycross.router.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.UpstreamInstance;
+import org.mulberrycross.caller.ClientCall;
+import org.mulberrycross.engine.RequestTokens;
+import org.mulberrycross.http.Headers;
+import org.mulberrycross.http.MessageHead;
+import org.mulberrycross.http.RelayRequest;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against two writers of one response.
+ */
+class RelayExchangeTest {
+
+	private static final MessageHead HEAD = new MessageHead(200, Headers.of(List.of()), OptionalLong.empty());
+
+	private static final byte[] EVENT = "id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8);
+
+	private final RecordingWriter writer = new RecordingWriter();
+
+	private final RelayExchange exchange = new RelayExchange(
+			new RelayRequest("GET", "/", Headers.of(List.of()), new byte[0]),
+			new ClientCall("id", "host", "/", Optional.empty(), Optional.empty(), 1, 1, OptionalLong.empty()),
+			this.writer, Freshness.now(MonotonicClock.system()));
+
+	private RelayAttempt begin() {
+		Forwarding forwarding = new Forwarding(
+				new UpstreamInstance("e", "s", new Address("127.0.0.1", 1), "dc", false, 1, 1), Duration.ofSeconds(1),
+				Optional.empty(), Optional.empty(), OptionalLong.empty());
+		RelayAttempt attempt = new RelayAttempt(this.exchange, forwarding, null, null, new RequestTokens(1, 1));
+		this.exchange.begin(attempt);
+		return attempt;
+	}
+
+	/**
+	 * Fails if events that arrive while the router answers by itself get into its answer.
+	 */
+	@Test
+	void eventsAfterOwnAnswerAreDropped() {
+		RelayAttempt attempt = begin();
+		assertThat(this.exchange.end(OwnAnswer.of(504, "late"))).isTrue();
+		assertThat(this.exchange.forwardEvents(attempt, HEAD, EVENT)).isTrue();
+		assertThat(this.exchange.endEvents(attempt, HEAD)).isTrue();
+		this.exchange.answer(attempt, HEAD, EVENT);
+		assertThat(this.writer.written()).containsExactly("start 504", "write", "end").inOrder();
+	}
+
+	/**
+	 * Fails if an answer of which a part was sent ends as if it were whole.
+	 */
+	@Test
+	void begunAnswerIsBrokenOff() {
+		RelayAttempt attempt = begin();
+		this.exchange.forwardEvents(attempt, HEAD, EVENT);
+		assertThat(this.exchange.end(OwnAnswer.of(504, "late"))).isFalse();
+		assertThat(this.exchange.endEvents(attempt, HEAD)).isTrue();
+		assertThat(this.writer.written()).containsExactly("start 200", "write", "abort").inOrder();
+	}
+
+	/** Fails if an attempt that was given up goes on writing. */
+	@Test
+	void onlyTheCurrentAttemptWrites() {
+		RelayAttempt former = begin();
+		RelayAttempt current = begin();
+		this.exchange.forwardEvents(former, HEAD, EVENT);
+		assertThat(this.writer.written()).isEmpty();
+		this.exchange.forwardEvents(current, HEAD, EVENT);
+		assertThat(this.writer.written()).containsExactly("start 200", "write").inOrder();
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RetryBudgetsTest.java
@@ -0,0 +1,114 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.caller.RouteKind;
+import org.mulberrycross.caller.RouteRule;
+import org.mulberrycross.caller.WeightedService;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Guards the bound on the retries of all daemons together.
+ */
+class RetryBudgetsTest {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private static final double RATIO = 0.2;
+
+	private static final double BURST = 200;
+
+	private static final int WINDOW_MILLIS = 10_000;
+
+	private static final RelaySettings SETTINGS = new RelaySettings("router-1", "dc-1", new Address("127.0.0.1", 1),
+			new Address("127.0.0.1", 2), new Address("127.0.0.1", 3), Duration.ofSeconds(5), Duration.ofSeconds(8),
+			RATIO, BURST, Duration.ofMillis(WINDOW_MILLIS));
+
+	private static final RouteRule RULE = new RouteRule("route", "host", "/", RouteKind.IDEMPOTENT,
+			Duration.ofSeconds(1), Duration.ofSeconds(1), 2, 0, false, false,
+			List.of(new WeightedService("service", 1)));
+
+	/**
+	 * Fails if all daemons together exceed the bound in any window, while each wants a
+	 * retry for every request in half of the time and some start again.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void allDaemonsTogetherKeepTheBound(long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		int count = 2 + random.nextInt(30);
+		List<RetryBudgets> daemons = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			daemons.add(new RetryBudgets(SETTINGS, count));
+		}
+		int[] requests = new int[60_000];
+		int[] retries = new int[60_000];
+		int restart = 15_000 + random.nextInt(30_000);
+		for (int milli = 0; milli < requests.length; milli++) {
+			if (milli == restart) {
+				daemons.replaceAll((daemon) -> new RetryBudgets(SETTINGS, count));
+			}
+			boolean trouble = (milli / 3000) % 2 == 1;
+			for (RetryBudgets daemon : daemons) {
+				if (random.nextInt(100) == 0) {
+					requests[milli]++;
+					daemon.requested(RULE, milli * NANOS_PER_MILLI);
+					if (trouble && daemon.take(RULE, milli * NANOS_PER_MILLI)) {
+						retries[milli]++;
+					}
+				}
+			}
+		}
+		for (int end = WINDOW_MILLIS; end < requests.length; end += 100) {
+			int most = Math.max(sum(requests, end),
+					Math.max(sum(requests, end - WINDOW_MILLIS), sum(requests, end - WINDOW_MILLIS / 2)));
+			assertWithMessage("window that ends at %s ms", end).that((double) sum(retries, end))
+				.isAtMost(RATIO * most + BURST);
+		}
+	}
+
+	private static int sum(int[] counts, int end) {
+		int sum = 0;
+		for (int milli = Math.max(0, end - WINDOW_MILLIS); milli < end; milli++) {
+			sum += counts[milli];
+		}
+		return sum;
+	}
+
+	/**
+	 * Fails if a daemon that needed no retry for a while has no more of them at a loss
+	 * than one that has just started.
+	 */
+	@Test
+	void calmTimeEarnsRetries() {
+		RetryBudgets daemon = new RetryBudgets(SETTINGS, 30);
+		for (int i = 0; i < 200; i++) {
+			daemon.requested(RULE, i * 10 * NANOS_PER_MILLI);
+		}
+		int taken = 0;
+		while (daemon.take(RULE, 2000 * NANOS_PER_MILLI)) {
+			taken++;
+		}
+		assertThat(taken).isAtLeast(30);
+	}
+
+	/** Fails if retries of long ago still count, or requests of long ago still earn. */
+	@Test
+	void windowMoves() {
+		RetryBudgets daemon = new RetryBudgets(SETTINGS, 100);
+		assertThat(daemon.take(RULE, 0)).isTrue();
+		assertThat(daemon.has(RULE, 0)).isFalse();
+		assertThat(daemon.has(RULE, (WINDOW_MILLIS + 1) * NANOS_PER_MILLI)).isTrue();
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamChoiceTest.java
@@ -0,0 +1,133 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.UpstreamInstance;
+import org.mulberrycross.caller.CallerLimits;
+import org.mulberrycross.caller.ClientCall;
+import org.mulberrycross.caller.RouteKind;
+import org.mulberrycross.caller.RouteRule;
+import org.mulberrycross.caller.RouteTable;
+import org.mulberrycross.caller.WeightedService;
+import org.mulberrycross.engine.AcceleratorKind;
+import org.mulberrycross.engine.EngineInstance;
+import org.mulberrycross.engine.EngineProfile;
+import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.PathStage;
+import org.mulberrycross.engine.RequestTokens;
+import org.mulberrycross.http.Headers;
+import org.mulberrycross.http.RelayRequest;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards which engines a request may be sent to after failures.
+ */
+class UpstreamChoiceTest {
+
+	private static final EngineProfile PROFILE = new EngineProfile(10, 100, 1, 1, 100, 100, 100, 1,
+			Map.of("kind", new AcceleratorKind("kind", 2000, 1, 1)));
+
+	private static final RouteRule RULE = new RouteRule("route", "host", "/", RouteKind.STREAM, Duration.ofSeconds(9),
+			Duration.ofSeconds(1), 3, 0, false, true, List.of(new WeightedService("model", 1)));
+
+	private final UpstreamDirectory directory = new UpstreamDirectory();
+
+	private final UpstreamHealth health = new UpstreamHealth();
+
+	private final UpstreamChoice choice = new UpstreamChoice(this.directory, this.health, "dc", new SplittableRandom(1),
+			1);
+
+	private final RelayExchange exchange = exchange();
+
+	@BeforeEach
+	void configure() {
+		this.choice.configure(
+				new ServingConfiguration(1, RouteTable.of(List.of(RULE)), Optional.empty(), Map.of("model", PROFILE),
+						Map.of("model", "/"), new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1))));
+		put("first", 0, 5, 134);
+		put("second", 5, 10, 134);
+	}
+
+	private static RelayExchange exchange() {
+		RelayExchange created = new RelayExchange(new RelayRequest("POST", "/", Headers.of(List.of()), new byte[0]),
+				new ClientCall("id", "host", "/", Optional.empty(), Optional.empty(), 100, 100, OptionalLong.empty()),
+				new RecordingWriter(), Freshness.now(MonotonicClock.system()));
+		created.admit(RULE, Optional.empty());
+		return created;
+	}
+
+	private void put(String id, int from, int to, int slots) {
+		UpstreamInstance instance = new UpstreamInstance(id, "model", new Address("10.0.0.1", 80), "dc", false, slots,
+				1);
+		this.directory.put(new DirectoryEntry(instance,
+				Optional.of(new EngineInstance(instance, "kind", Optional.of(new LayerRange(from, to)), 1))));
+	}
+
+	private List<String> path() {
+		return this.choice.choose(this.exchange, Duration.ofSeconds(5), 0)
+			.flatMap(Forwarding::path)
+			.map((path) -> path.stages().stream().map(PathStage::engine).map(EngineInstance::id).toList())
+			.orElse(List.of());
+	}
+
+	/**
+	 * Fails if a request goes back to an engine that has just failed it, which uses up
+	 * the retries of all in a few milliseconds.
+	 */
+	@Test
+	void engineThatFailedTheRequestIsNotTriedAgain() {
+		this.exchange.failedUpstreams().add("second");
+		assertThat(path()).isEmpty();
+		put("other", 5, 10, 134);
+		assertThat(path()).containsExactly("first", "other").inOrder();
+	}
+
+	/**
+	 * Fails if engines that only took part in a failed attempt are left out although
+	 * there are no others, or used although there are.
+	 */
+	@Test
+	void suspectedEnginesAreUsedIfThereIsNoOther() {
+		this.exchange.suspectedUpstreams().addAll(List.of("first", "second"));
+		assertThat(path()).containsExactly("first", "second").inOrder();
+		put("other", 0, 5, 134);
+		put("another", 5, 10, 134);
+		assertThat(path()).containsExactly("other", "another").inOrder();
+	}
+
+	/**
+	 * Fails if a service refuses requests because each of its first engines has failed
+	 * one lately, or if a stalled engine is preferred to such.
+	 */
+	@Test
+	void avoidedEnginesAreUsedBeforeStalledOnes() {
+		put("stalled", 0, 5, 134);
+		this.health.failed("first", "reset", 0);
+		this.health.stalled("stalled", 0);
+		assertThat(path()).containsExactly("first", "second").inOrder();
+	}
+
+	/** Fails if requests queue at an engine without a free slot beside an idle one. */
+	@Test
+	void slotsOfFirstEngineCountAsLoad() {
+		put("narrow", 0, 10, 1);
+		RelayAttempt attempt = new RelayAttempt(this.exchange,
+				this.choice.choose(this.exchange, Duration.ofSeconds(5), 0).orElseThrow(), null, null,
+				new RequestTokens(1, 1));
+		assertThat(attempt.upstreams()).containsExactly("narrow");
+		this.choice.sent(attempt);
+		assertThat(path()).containsExactly("first", "second").inOrder();
+	}
+
+}
