Close connections after responses that had begun before a stop, and refuse requests late in it

Only responses that began after the signal asked their clients to close. Ruled out: a new connection after the daemon stopped accepting (3 s after the signal). Change: each response that ends while the server closes ends its connection, and 3 s after the signal requests on open connections are refused as not run. Tests: RelayTest closesConnectionAfterResponseThatHadBegun, seen to fail first; RequestAdmissionTest, also for versions that go back.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -160,7 +160,6 @@
 				}
 				if (RelayServerConnection.this.closing.getAsBoolean()) {
 					this.packet.setHeader("Connection", "close");
-					this.request.getProcessingState().setKeepAlive(false);
 				}
 			}
 		}
@@ -184,6 +183,12 @@
 				RelayServerConnection.this.current = null;
 				RelayServerConnection.this.activeSinceNanos = System.nanoTime();
 				send(NO_BODY, true);
+				// Also ends a connection whose response had begun before the server
+				// started
+				// to close.
+				if (RelayServerConnection.this.closing.getAsBoolean()) {
+					this.request.getProcessingState().setKeepAlive(false);
+				}
 				this.context.notifyDownstream(HttpServerFilter.RESPONSE_COMPLETE_EVENT);
 			}
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -52,8 +52,8 @@
 	private static final Duration HOUSEKEEPING = Duration.ofMillis(200);
 
 	/**
-	 * Time after which idle connections are closed and no new ones are accepted, so that
-	 * the last requests have most of the grace to end.
+	 * Time after which idle connections are closed, no new ones are accepted and requests
+	 * on open ones are refused, so that the last requests have most of the grace to end.
 	 */
 	private static final Duration ACCEPT_TIME = Duration.ofMillis(3000);
 
@@ -188,6 +188,7 @@
 		try {
 			TimeUnit.NANOSECONDS.sleep(Math.min(refusing, last) - this.clock.nanos());
 			this.callers.refuseConnections();
+			this.relay.refuse();
 			while (this.clock.nanos() < last && this.relay.open() > 0) {
 				this.callers.closeIdle();
 				TimeUnit.NANOSECONDS.sleep(DRAIN_CHECK.toNanos());
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -142,6 +142,11 @@
 		this.control.post(this.admission::stop);
 	}
 
+	// Takes no requests any more.
+	void refuse() {
+		this.control.post(this.admission::refuse);
+	}
+
 	// Notes how many daemons there are, this one included.
 	void daemons(int count) {
 		this.control.assertCurrent();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -42,6 +42,8 @@
 
 	private boolean stopping;
 
+	private boolean refusing;
+
 	private volatile boolean ready;
 
 	RequestAdmission(RelaySettings settings, MonotonicClock clock) {
@@ -68,6 +70,11 @@
 		update();
 	}
 
+	// Takes no requests any more, since they might not end before the process does.
+	void refuse() {
+		this.refusing = true;
+	}
+
 	void directoryListed() {
 		this.directoryListed = true;
 		update();
@@ -96,6 +103,9 @@
 
 	// Admits a request, or returns the answer that it gets instead.
 	Optional<OwnAnswer> admit(RelayExchange exchange) {
+		if (this.refusing) {
+			return Optional.of(OwnAnswer.notRun(RETRY_ELSEWHERE, "daemon stops"));
+		}
 		if (this.configuration.isEmpty()) {
 			return Optional.of(OwnAnswer.notRun(RETRY_AFTER_START, "no configuration is known yet"));
 		}
--- a/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
@@ -128,6 +128,33 @@
 		}
 	}
 
+	/**
+	 * Fails if a connection stays open after a response that had begun before the server
+	 * started to close, so that its client sends a request that cannot end in time.
+	 */
+	@Test
+	void closesConnectionAfterResponseThatHadBegun() throws Exception {
+		int port = freePort();
+		BlockingQueue<ResponseWriter> begun = new LinkedBlockingQueue<>();
+		try (RelayServer server = new RelayServer(new Address("127.0.0.1", port), (request, response) -> {
+			response.start(new MessageHead(200, Headers.NONE, OptionalLong.empty()));
+			response.write("a".getBytes(StandardCharsets.UTF_8));
+			begun.add(response);
+		})) {
+			server.start();
+			try (Socket socket = new Socket("127.0.0.1", port)) {
+				socket.setSoTimeout(WAIT_SECONDS * 1000);
+				socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+				ResponseWriter response = begun.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+				assertThat(readUntil(socket, "a\r\n")).doesNotContain("close");
+				server.closeAfterResponses();
+				response.end();
+				readUntil(socket, "0\r\n\r\n");
+				assertThat(socket.getInputStream().read()).isEqualTo(-1);
+			}
+		}
+	}
+
 	/** Fails if work for a client that has left goes on. */
 	@Test
 	void reportsClientThatLeaves() throws Exception {
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
@@ -0,0 +1,81 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.caller.CallerLimits;
+import org.mulberrycross.caller.ClientCall;
+import org.mulberrycross.caller.RouteKind;
+import org.mulberrycross.caller.RouteRule;
+import org.mulberrycross.caller.RouteTable;
+import org.mulberrycross.caller.WeightedService;
+import org.mulberrycross.http.Headers;
+import org.mulberrycross.http.RelayRequest;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards which requests a daemon takes, and under which configuration.
+ */
+class RequestAdmissionTest {
+
+	private static final RelaySettings SETTINGS = new RelaySettings("router-1", "dc-1", new Address("127.0.0.1", 1),
+			new Address("127.0.0.1", 2), new Address("127.0.0.1", 3), Duration.ofSeconds(5), Duration.ofSeconds(8), 0.2,
+			200, Duration.ofSeconds(10));
+
+	private final RequestAdmission admission = new RequestAdmission(SETTINGS, MonotonicClock.system());
+
+	private static ServingConfiguration configuration(long version, String prefix) {
+		RouteRule rule = new RouteRule("route-" + version, "host", prefix, RouteKind.IDEMPOTENT, Duration.ofSeconds(1),
+				Duration.ofSeconds(1), 2, 0, false, false, List.of(new WeightedService("service", 1)));
+		return new ServingConfiguration(version, RouteTable.of(List.of(rule)), Optional.empty(), Map.of(),
+				Map.of("service", "/"), new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1)));
+	}
+
+	private Optional<Integer> refusal(String path) {
+		RelayExchange exchange = new RelayExchange(new RelayRequest("GET", path, Headers.of(List.of()), new byte[0]),
+				new ClientCall("id", "host", path, Optional.empty(), Optional.empty(), 0, 0, OptionalLong.empty()),
+				new RecordingWriter(), Freshness.now(MonotonicClock.system()));
+		return this.admission.admit(exchange).map(OwnAnswer::status);
+	}
+
+	/**
+	 * Fails if a daemon without a configuration says that a route does not exist.
+	 */
+	@Test
+	void unknownConfigurationIsNoRefusalForGood() {
+		assertThat(refusal("/a/")).isEqualTo(Optional.of(503));
+	}
+
+	/**
+	 * Fails if a version that arrives late takes the place of a newer one.
+	 */
+	@Test
+	void versionsNeverGoBack() {
+		assertThat(this.admission.apply(configuration(7, "/new/"))).isTrue();
+		assertThat(this.admission.apply(configuration(6, "/old/"))).isFalse();
+		assertThat(this.admission.apply(configuration(7, "/old/"))).isFalse();
+		assertThat(refusal("/new/")).isEqualTo(Optional.empty());
+		assertThat(refusal("/old/")).isEqualTo(Optional.of(404));
+	}
+
+	/**
+	 * Fails if a daemon that is about to end takes a request that it would cut.
+	 */
+	@Test
+	void requestsLateInAStopAreRefused() {
+		this.admission.apply(configuration(1, "/a/"));
+		this.admission.stop();
+		assertThat(refusal("/a/")).isEqualTo(Optional.empty());
+		this.admission.refuse();
+		assertThat(refusal("/a/")).isEqualTo(Optional.of(503));
+	}
+
+}
