--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,7 +26,7 @@
 	/** Longest time of avoidance; an upstream that recovers is in use again after it. */
 	private static final Duration LONGEST_AVOIDANCE = Duration.ofSeconds(4);
 
-	/** Time for which a full upstream is avoided; some requests end within it. */
+	/** First time for which a full upstream is avoided; some requests end within it. */
 	private static final Duration FULL_AVOIDANCE = Duration.ofMillis(250);
 
 	private final Map<String, Avoidance> avoided = new HashMap<>();
@@ -35,10 +36,7 @@
 		if (nowNanos < before.untilNanos()) {
 			return;
 		}
-		Duration time = before.length().isZero() ? FIRST_AVOIDANCE : before.length().multipliedBy(2);
-		if (time.compareTo(LONGEST_AVOIDANCE) > 0) {
-			time = LONGEST_AVOIDANCE;
-		}
+		Duration time = longer(before.length(), FIRST_AVOIDANCE);
 		this.avoided.put(id, new Avoidance(nowNanos + time.toNanos(), time, false));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
@@ -57,15 +55,25 @@
 			.log("upstream stalled");
 	}
 
-	// Notes that an upstream has no room now, which says nothing against it.
+	// Notes that an upstream has no room now. One that is dead is rejected alike by the
+	// engines before it, so that the time grows until a request succeeds.
 	void full(String id, long nowNanos) {
-		if (!avoided(id, nowNanos)) {
-			this.avoided.put(id, new Avoidance(nowNanos + FULL_AVOIDANCE.toNanos(), Duration.ZERO, false));
-			logger.atInfo()
-				.addKeyValue("upstream", id)
-				.addKeyValue("for_ms", FULL_AVOIDANCE.toMillis())
-				.log("upstream full");
+		if (avoided(id, nowNanos)) {
+			return;
+		}
+		Duration before = Optional.ofNullable(this.avoided.get(id)).map(Avoidance::length).orElse(Duration.ZERO);
+		Duration time = longer(before, FULL_AVOIDANCE);
+		this.avoided.put(id, new Avoidance(nowNanos + time.toNanos(), time, false));
+		logger.atInfo().addKeyValue("upstream", id).addKeyValue("for_ms", time.toMillis()).log("upstream full");
+	}
+
+	// Returns twice the time before, but no less than the first time.
+	private static Duration longer(Duration before, Duration first) {
+		Duration twice = before.multipliedBy(2);
+		if (twice.compareTo(first) < 0) {
+			return first;
 		}
+		return (twice.compareTo(LONGEST_AVOIDANCE) < 0) ? twice : LONGEST_AVOIDANCE;
 	}
 
 	void succeeded(String id) {
