--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
@@ -200,8 +200,7 @@
 	}
 
 	// Places empty engines, such as ones that came back after a crash, beside the layers
-	// that have lost
-	// the most capacity.
+	// that have lost the most capacity.
 	private List<Placement> reinforce(List<EngineInstance> engines, List<EngineInstance> free,
 			List<Placement> ordered) {
 		LayerCapacity capacity = new LayerCapacity(this.profile, TARGET_REQUESTS);
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
@@ -82,8 +82,7 @@
 	}
 
 	// Finds the cheapest chain over layer boundaries. A boundary keeps the cheapest chain
-	// for each data
-	// centre, so that the work grows with the engines and not with the pairs of them.
+	// for each data centre, so that the work grows with the number of engines.
 	private Optional<EnginePath> shortest(List<Candidate> candidates, double hopMillis) {
 		int layers = this.profile.layers();
 		Map<Integer, List<Candidate>> byEnd = candidates.stream()
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -205,9 +205,8 @@
 			if (!grant.lasts(ORDER_TIMEOUT, this.clock.nanos())) {
 				return;
 			}
-			// An engine that carries out an order takes no other one, so it is asked
-			// again
-			// later.
+			// An engine that carries out an order takes no other one, so it is
+			// asked again later.
 			reply = Optional.of(taken.isEmpty() ? PlacementReply.CONFLICT
 					: this.client.order(placement, taken.getAsLong(), grant.fencing(), ORDER_TIMEOUT));
 			outcome = reply.get().name();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -167,8 +167,8 @@
 		return this.firstDataNanos;
 	}
 
-	// Passes on the whole events of a part of a stream. @return whether the stream is
-	// still in order
+	// Passes on the whole events of a part of a stream. Returns whether the stream is
+	// still in order.
 	synchronized boolean forwardEvents(RelayAttempt attempt, MessageHead head, byte[] part) {
 		if (!writes(attempt)) {
 			return true;
