Avoid slow engines, and give their layers a second holder

Cause: the path search knew an engine's kind and load, but not that it had turned slow. Change: when the first event of a request takes half of its target latency and is unusual for this daemon, the engines of its path are asked for their reports (rate-limited). The reported factor counts in the path search for 4 s and is refreshed. Layers held by slow engines count as low on capacity, so that empty engines load them. Checks of timeouts moved from RelayControl to AttemptMonitor. Ruled out: overload (processor of daemons at 0.13 of a core, engines rejected few requests then). The test of the selector uses interfaces that the former code lacks and was not run on it.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LayerCapacity.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LayerCapacity.java
@@ -39,12 +39,13 @@
 	 * Adds the capacity of an engine to each of its layers.
 	 * @param engine the engine, not null; adds nothing if its kind is unknown
 	 * @param layers the layers that it holds, not null
+	 * @param slowdown the factor by which it is slower than its kind, at least 1
 	 */
-	void addHolder(EngineInstance engine, LayerRange layers) {
+	void addHolder(EngineInstance engine, LayerRange layers, double slowdown) {
 		double freeMb = this.profile.kind(engine).map(AcceleratorKind::memoryMb).orElse(0.0)
 				- layers.size() * this.profile.weightMbPerLayer();
 		double mbPerRequest = layers.size() * this.profile.meanTokens() * this.profile.cacheMbPerTokenAndLayer();
-		double capacity = Math.min(this.maxRequestsPerEngine, Math.max(0, freeMb / mbPerRequest));
+		double capacity = Math.min(this.maxRequestsPerEngine, Math.max(0, freeMb / mbPerRequest)) / slowdown;
 		for (int layer = layers.first(); layer < Math.min(this.requestsByLayer.length, layers.end()); layer++) {
 			this.requestsByLayer[layer] += capacity;
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LayerPlanner.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -73,6 +74,20 @@
 	 * afterwards, empty if nothing changes
 	 */
 	public List<Placement> plan(Collection<EngineInstance> engines) {
+		return plan(engines, (engine) -> 1);
+	}
+
+	/**
+	 * Plans the next changes for engines of which some are slower than their kind. The
+	 * layers of a slow engine get another holder if an empty engine is left.
+	 * @param engines the engines that are in service and not leaving, with the layers
+	 * that they hold or have been ordered to hold, not null
+	 * @param slowdown the factor by which an engine is slower than its kind, at least 1;
+	 * not null
+	 * @return the engines to change and the complete range of layers that each holds
+	 * afterwards, empty if nothing changes
+	 */
+	public List<Placement> plan(Collection<EngineInstance> engines, ToDoubleFunction<EngineInstance> slowdown) {
 		Map<String, List<EngineInstance>> byDataCentre = new TreeMap<>();
 		for (EngineInstance engine : engines) {
 			if (this.profile.kind(engine).isPresent()) {
@@ -87,16 +102,16 @@
 				enginesOfSmallDataCentres.addAll(localEngines);
 			}
 			else {
-				placements.addAll(planGroup(localEngines));
+				placements.addAll(planGroup(localEngines, slowdown));
 			}
 		}
-		placements.addAll(planGroup(enginesOfSmallDataCentres));
+		placements.addAll(planGroup(enginesOfSmallDataCentres, slowdown));
 		return placements;
 	}
 
-	private List<Placement> planGroup(List<EngineInstance> engines) {
+	private List<Placement> planGroup(List<EngineInstance> engines, ToDoubleFunction<EngineInstance> slowdown) {
 		boolean empty = engines.stream().allMatch((engine) -> engine.layers().isEmpty());
-		return empty ? placeInitialReplicas(engines) : repairCoverage(engines);
+		return empty ? placeInitialReplicas(engines) : repairCoverage(engines, slowdown);
 	}
 
 	// Returns the number of requests for which each engine reserves memory: the highest,
@@ -186,13 +201,16 @@
 	}
 
 	// Finds holders for missing layers, then adds holders to layers with low capacity.
-	private List<Placement> repairCoverage(List<EngineInstance> engines) {
+	private List<Placement> repairCoverage(List<EngineInstance> engines, ToDoubleFunction<EngineInstance> slowdown) {
 		List<Placement> placements = new ArrayList<>();
 		List<EngineInstance> emptyEngines = new ArrayList<>(
 				engines.stream().filter((engine) -> engine.layers().isEmpty()).toList());
-		emptyEngines.sort(Comparator.comparingInt((EngineInstance engine) -> maxLayers(engine, MIN_REQUESTS_PER_ENGINE))
-			.reversed()
-			.thenComparing(fastestFirst()));
+		emptyEngines.sort(
+				Comparator.comparingDouble(slowdown)
+					.thenComparing(Comparator
+						.comparingInt((EngineInstance engine) -> maxLayers(engine, MIN_REQUESTS_PER_ENGINE))
+						.reversed())
+					.thenComparing(fastestFirst()));
 		Optional<LayerRange> missingRange = findMissingRange(engines, placements);
 		while (missingRange.isPresent()) {
 			LayerRange missing = missingRange.get();
@@ -209,29 +227,32 @@
 			emptyEngines.remove(next.get().engine());
 			missingRange = findMissingRange(engines, placements);
 		}
-		placements.addAll(addCapacity(engines, emptyEngines, placements));
+		placements.addAll(addCapacity(engines, emptyEngines, placements, slowdown));
 		return placements;
 	}
 
 	// Assigns empty engines, such as ones restarted after a crash, to the layers with the
-	// lowest capacity.
+	// lowest capacity. A slow engine adds only the part of its capacity that it can use.
 	private List<Placement> addCapacity(List<EngineInstance> engines, List<EngineInstance> emptyEngines,
-			List<Placement> repairs) {
+			List<Placement> repairs, ToDoubleFunction<EngineInstance> slowdown) {
 		LayerCapacity capacity = new LayerCapacity(this.profile, TARGET_REQUESTS_PER_ENGINE);
 		Set<EngineInstance> changedEngines = repairs.stream().map(Placement::engine).collect(Collectors.toSet());
 		engines.stream()
 			.filter((engine) -> !changedEngines.contains(engine))
-			.forEach((engine) -> engine.layers().ifPresent((held) -> capacity.addHolder(engine, held)));
-		repairs.forEach((placement) -> capacity.addHolder(placement.engine(), placement.layers()));
-		List<EngineInstance> remaining = new ArrayList<>(
-				emptyEngines.stream().filter((engine) -> maxLayers(engine, TARGET_REQUESTS_PER_ENGINE) > 0).toList());
+			.forEach((engine) -> engine.layers()
+				.ifPresent((held) -> capacity.addHolder(engine, held, slowdown.applyAsDouble(engine))));
+		repairs.forEach((placement) -> capacity.addHolder(placement.engine(), placement.layers(), 1));
+		List<EngineInstance> remaining = new ArrayList<>(emptyEngines.stream()
+			.filter((engine) -> maxLayers(engine, TARGET_REQUESTS_PER_ENGINE) > 0)
+			.filter((engine) -> slowdown.applyAsDouble(engine) <= 1)
+			.toList());
 		List<Placement> placements = new ArrayList<>();
 		Optional<LayerRange> lowCapacity = capacity.findLowCapacityRange(MIN_CAPACITY_RATIO, MIN_REQUESTS_PER_LAYER);
 		while (lowCapacity.isPresent() && !remaining.isEmpty()) {
 			EngineInstance engine = bestFit(lowCapacity.get(), remaining);
 			int size = Math.min(lowCapacity.get().size(), maxLayers(engine, TARGET_REQUESTS_PER_ENGINE));
 			LayerRange layers = new LayerRange(lowCapacity.get().first(), lowCapacity.get().first() + size);
-			capacity.addHolder(engine, layers);
+			capacity.addHolder(engine, layers, 1);
 			placements.add(new Placement(engine, layers));
 			remaining.remove(engine);
 			lowCapacity = capacity.findLowCapacityRange(MIN_CAPACITY_RATIO, MIN_REQUESTS_PER_LAYER);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptTimeouts.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptTimeouts.java
@@ -36,6 +36,12 @@
 	 */
 	private static final int RETRY_TARGET_LATENCY_MULTIPLE = 2;
 
+	/**
+	 * Part of the route's target latency without the first event after which the engines
+	 * of the path may be slow. Requests that are sent later can then still be on time.
+	 */
+	private static final int SLOW_FIRST_EVENT_DIVISOR = 2;
+
 	private AttemptTimeouts() {
 	}
 
@@ -46,7 +52,13 @@
 	// Returns whether the first engine of a path should be asked which engine is stalled.
 	static boolean shouldProbe(RelayAttempt attempt, long nowNanos) {
 		Duration probeDelay = attempt.hasReceivedData() ? STREAM_PROBE_DELAY : FIRST_EVENT_PROBE_DELAY;
-		return attempt.forwarding().path().isPresent() && nowNanos - attempt.lastActivityNanos() > probeDelay.toNanos();
+		return nowNanos - attempt.lastActivityNanos() > probeDelay.toNanos();
+	}
+
+	// Returns whether the engines of a path should be asked for their speed.
+	static boolean isFirstEventSlow(RelayExchange exchange, RelayAttempt attempt, long nowNanos) {
+		Duration limit = exchange.rule().targetLatency().dividedBy(SLOW_FIRST_EVENT_DIVISOR);
+		return !attempt.hasReceivedData() && nowNanos - attempt.startedNanos() > limit.toNanos();
 	}
 
 	// Returns whether the request should be retried elsewhere if it may be repeated.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -76,7 +76,7 @@
 
 	private final RelayClient client;
 
-	private final StallProber stallProber;
+	private final EngineProber engineProber;
 
 	private final RelayControl relayControl;
 
@@ -95,7 +95,7 @@
 	private final PlacementRunner placementRunner;
 
 	private final AtomicReference<PlacementView> placementView = new AtomicReference<>(
-			new PlacementView(Map.of(), Map.of()));
+			new PlacementView(Map.of(), Map.of(), Map.of()));
 
 	private final CountDownLatch closeLatch = new CountDownLatch(1);
 
@@ -110,10 +110,10 @@
 		this.settings = Objects.requireNonNull(settings, "settings");
 		SecureRandom secureRandom = new SecureRandom();
 		this.client = new RelayClient();
-		this.stallProber = new StallProber(adapter.stallReporter());
+		this.engineProber = new EngineProber(adapter.engineReporter());
 		this.relayControl = new RelayControl(this.controlThread, this.clock,
 				new SplittableRandom(secureRandom.nextLong()), settings, adapter.messageFormat(), this.client,
-				this.stallProber, new RelayMetrics(this.metrics));
+				this.engineProber, new RelayMetrics(this.metrics));
 		this.callerServer = new RelayServer(settings.callerAddress(), this.relayControl::acceptRequest);
 		this.readinessServer = new RelayServer(settings.readinessAddress(), this::handleProbe);
 		this.settingsReloader = new SettingsReloader(source, settings, this.relayControl::reload);
@@ -222,7 +222,7 @@
 		this.placementRunner.close();
 		this.callerServer.close();
 		this.readinessServer.close();
-		this.stallProber.close();
+		this.engineProber.close();
 		this.client.close();
 		this.controlThread.close();
 		this.closeLatch.countDown();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -128,9 +128,7 @@
 		List<Placement> placements = view.profiles()
 			.entrySet()
 			.stream()
-			.flatMap((entry) -> plan(entry.getKey(), entry.getValue(),
-					view.engines().getOrDefault(entry.getKey(), List.of()), nowNanos)
-				.stream())
+			.flatMap((entry) -> plan(view, entry.getKey(), entry.getValue(), nowNanos).stream())
 			.toList();
 		if (placements.isEmpty()) {
 			return;
@@ -148,7 +146,8 @@
 		}
 	}
 
-	private List<Placement> plan(String service, EngineProfile profile, List<EngineInstance> engines, long nowNanos) {
+	private List<Placement> plan(PlacementView view, String service, EngineProfile profile, long nowNanos) {
+		List<EngineInstance> engines = view.engines().getOrDefault(service, List.of());
 		List<EngineInstance> enginesWithOrders = this.pendingOrders.applyTo(engines, nowNanos);
 		Set<String> engineIds = engines.stream().map(EngineInstance::id).collect(Collectors.toSet());
 		EngineMembership membership = this.memberships.get(service);
@@ -160,7 +159,7 @@
 		if (nothingPlaced && nowNanos - membership.unchangedSinceNanos() < MEMBERSHIP_SETTLE_TIME.toNanos()) {
 			return List.of();
 		}
-		return new LayerPlanner(profile).plan(enginesWithOrders);
+		return new LayerPlanner(profile).plan(enginesWithOrders, view::slowdown);
 	}
 
 	private void advanceLease() {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementView.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementView.java
@@ -11,12 +11,21 @@
  *
  * @param profiles the engine profiles by service name
  * @param engines the engines that are not leaving, by service name
+ * @param slowdowns the factors by which slow engines are slower than their kind, by
+ * engine id
  */
-record PlacementView(Map<String, EngineProfile> profiles, Map<String, List<EngineInstance>> engines) {
+record PlacementView(Map<String, EngineProfile> profiles, Map<String, List<EngineInstance>> engines,
+		Map<String, Double> slowdowns) {
 
 	PlacementView {
 		profiles = Map.copyOf(profiles);
 		engines = Map.copyOf(engines);
+		slowdowns = Map.copyOf(slowdowns);
+	}
+
+	// Returns the factor by which an engine is slower than its kind, at least 1.
+	double slowdown(EngineInstance engine) {
+		return this.slowdowns.getOrDefault(engine.id(), 1.0);
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlatformAdapter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlatformAdapter.java
@@ -14,12 +14,12 @@
  * @param upstreamDecoder decodes an upstream entry, not null
  * @param messageFormat the wire format of requests and responses, not null
  * @param placementClient sends placement orders to engines, not null
- * @param stallReporter asks engines which engines stall their requests, not null
+ * @param engineReporter asks engines for their reports, not null
  */
 public record PlatformAdapter(ObjectStore store, String configurationKind,
 		ObjectDecoder<ServingConfiguration> configurationDecoder, String upstreamKind,
 		ObjectDecoder<DirectoryEntry> upstreamDecoder, MessageFormat messageFormat, PlacementClient placementClient,
-		StallReporter stallReporter) {
+		EngineReporter engineReporter) {
 
 	/**
 	 * Creates an adapter.
@@ -30,7 +30,7 @@
 	 * @param upstreamDecoder decodes an upstream entry, not null
 	 * @param messageFormat the wire format of requests and responses, not null
 	 * @param placementClient sends placement orders to engines, not null
-	 * @param stallReporter asks engines which engines stall their requests, not null
+	 * @param engineReporter asks engines for their reports, not null
 	 */
 	public PlatformAdapter {
 		Objects.requireNonNull(store, "store");
@@ -40,7 +40,7 @@
 		Objects.requireNonNull(upstreamDecoder, "upstreamDecoder");
 		Objects.requireNonNull(messageFormat, "messageFormat");
 		Objects.requireNonNull(placementClient, "placementClient");
-		Objects.requireNonNull(stallReporter, "stallReporter");
+		Objects.requireNonNull(engineReporter, "engineReporter");
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -3,20 +3,23 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import org.mulberrycross.Address;
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.caller.ClientCall;
 import org.mulberrycross.engine.EngineInstance;
+import org.mulberrycross.engine.EngineProfile;
 import org.mulberrycross.http.RelayClient;
 import org.mulberrycross.http.RelayRequest;
 import org.mulberrycross.http.ResponseHead;
@@ -75,14 +78,14 @@
 
 	private final RelayClient client;
 
-	private final StallProber stallProber;
-
 	private final RelayMetrics metrics;
 
 	private final UpstreamDirectory directory = new UpstreamDirectory();
 
 	private final UpstreamHealth health = new UpstreamHealth();
 
+	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
+
 	private final RequestAdmission admission;
 
 	private final UpstreamSelector selector;
@@ -93,22 +96,26 @@
 
 	private final InFlightRequests inFlight;
 
+	private final AttemptMonitor attemptMonitor;
+
 	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
 
 	RelayControl(ControlThread controlThread, MonotonicClock clock, RandomGenerator random, RelaySettings settings,
-			MessageFormat messageFormat, RelayClient client, StallProber stallProber, RelayMetrics metrics) {
+			MessageFormat messageFormat, RelayClient client, EngineProber engineProber, RelayMetrics metrics) {
 		this.controlThread = Objects.requireNonNull(controlThread, "controlThread");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.messageFormat = Objects.requireNonNull(messageFormat, "messageFormat");
 		this.client = Objects.requireNonNull(client, "client");
-		this.stallProber = Objects.requireNonNull(stallProber, "stallProber");
+		Objects.requireNonNull(engineProber, "engineProber");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.admission = new RequestAdmission(settings, clock);
-		this.selector = new UpstreamSelector(this.directory, this.health, settings.dataCentre(), random,
+		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
 				DEFAULT_DAEMON_COUNT);
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
+		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
+				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt);
 	}
 
 	// Returns whether the load balancer should open connections. Callable on any thread.
@@ -134,8 +141,12 @@
 	// Returns the profiles and the eligible engines by service, as input for placement.
 	PlacementView placementView() {
 		this.controlThread.assertOnControlThread();
-		return this.directory
-			.placementView(configuration().map(ServingConfiguration::profilesByService).orElse(Map.of()));
+		Map<String, EngineProfile> profiles = configuration().map(ServingConfiguration::profilesByService)
+			.orElse(Map.of());
+		Map<String, List<EngineInstance>> engines = profiles.keySet()
+			.stream()
+			.collect(Collectors.toMap(Function.identity(), this.directory::eligibleEngines));
+		return new PlacementView(profiles, engines, this.slowdowns.current(this.clock.nanos()));
 	}
 
 	// Applies changed limits. Changed addresses take effect only after a restart.
@@ -255,7 +266,10 @@
 
 	@Override
 	public void onFirstData(RelayAttempt attempt) {
-		this.controlThread.post(() -> this.selector.recordPrefillDone(attempt));
+		this.controlThread.post(() -> {
+			this.selector.recordPrefillDone(attempt);
+			this.attemptMonitor.recordFirstData(attempt, this.clock.nanos());
+		});
 	}
 
 	@Override
@@ -419,39 +433,7 @@
 				dispatchOrWait(exchange);
 			}
 		}
-		for (RelayExchange exchange : this.inFlight.snapshot()) {
-			if (exchange.rule() != null) {
-				checkTimeouts(exchange, nowNanos);
-			}
-		}
-	}
-
-	private void checkTimeouts(RelayExchange exchange, long nowNanos) {
-		if (exchange.remainingTime(nowNanos).isNegative()) {
-			this.inFlight.timeOut(exchange);
-			return;
-		}
-		RelayAttempt attempt = exchange.currentAttempt();
-		if (attempt == null) {
-			return;
-		}
-		if (AttemptTimeouts.isConnectOverdue(attempt, nowNanos)) {
-			attempt.cancel();
-			handleFailedAttempt(attempt, Set.of(attempt.forwarding().upstream().id()),
-					"no connection within " + AttemptTimeouts.CONNECT_TIMEOUT.toMillis() + " ms", attempt.wasSent());
-		}
-		if (!attempt.wasSent()) {
-			return;
-		}
-		if (AttemptTimeouts.shouldProbe(attempt, nowNanos)) {
-			this.stallProber.probe(attempt.forwarding().path().get().firstEngine(), nowNanos, this::handleStallReport);
-		}
-		if (AttemptTimeouts.isResponseOverdue(exchange, attempt, nowNanos) && mayRetry(exchange)) {
-			// On a path, any engine may be the cause; stall reports identify it.
-			Set<String> faultyIds = attempt.forwarding().path().isPresent() ? Set.of()
-					: Set.of(attempt.forwarding().upstream().id());
-			handleFailedAttempt(attempt, faultyIds, "silent for too long", true);
-		}
+		this.attemptMonitor.check(nowNanos);
 	}
 
 	// Returns whether a retry is possible. A late response alone is no reason to fail a
@@ -462,24 +444,4 @@
 				&& this.retryBudgets.hasRetry(exchange.rule(), this.clock.nanos());
 	}
 
-	private void handleStallReport(EngineInstance firstEngine, Set<Address> addresses) {
-		this.controlThread.post(() -> addresses.forEach(this::ejectStalledEngine));
-	}
-
-	// Ejects a stalled engine and retries the requests whose paths contain it.
-	private void ejectStalledEngine(Address address) {
-		Optional<String> id = this.directory.findByAddress(address).map((entry) -> entry.instance().id());
-		if (id.isEmpty()) {
-			return;
-		}
-		this.health.recordStall(id.get(), this.clock.nanos());
-		for (RelayExchange exchange : this.inFlight.snapshot()) {
-			RelayAttempt attempt = exchange.currentAttempt();
-			if (attempt != null && !exchange.isFinished() && attempt.upstreamIds().contains(id.get())
-					&& mayRetry(exchange)) {
-				handleFailedAttempt(attempt, Set.of(id.get()), "engine " + id.get() + " is stalled", attempt.wasSent());
-			}
-		}
-	}
-
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -15,7 +15,6 @@
 
 import org.mulberrycross.Address;
 import org.mulberrycross.engine.EngineInstance;
-import org.mulberrycross.engine.EngineProfile;
 
 /**
  * The upstreams that the platform lists. Entries that are removed during an outage of the
@@ -125,13 +124,13 @@
 			.toList();
 	}
 
-	// Returns the given profiles by service with the eligible engines of these services.
-	PlacementView placementView(Map<String, EngineProfile> profiles) {
-		Map<String, List<EngineInstance>> engines = new HashMap<>();
-		profiles.keySet()
-			.forEach((service) -> engines.put(service,
-					eligibleEntries(service).stream().flatMap((entry) -> entry.engine().stream()).toList()));
-		return new PlacementView(profiles, engines);
+	// Returns the eligible engines of a service.
+	List<EngineInstance> eligibleEngines(String service) {
+		return eligibleEntries(service).stream().flatMap((entry) -> entry.engine().stream()).toList();
+	}
+
+	Optional<DirectoryEntry> find(String id) {
+		return Optional.ofNullable(this.entries.get(id));
 	}
 
 	Optional<DirectoryEntry> findByAddress(Address address) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -43,6 +43,8 @@
 
 	private final UpstreamHealth health;
 
+	private final EngineSlowdowns slowdowns;
+
 	private final UpstreamLoad load = new UpstreamLoad();
 
 	private final Map<String, PathFinder> pathFinders = new HashMap<>();
@@ -55,10 +57,11 @@
 
 	private int daemonCount;
 
-	UpstreamSelector(UpstreamDirectory directory, UpstreamHealth health, String dataCentre, RandomGenerator random,
-			int daemonCount) {
+	UpstreamSelector(UpstreamDirectory directory, UpstreamHealth health, EngineSlowdowns slowdowns, String dataCentre,
+			RandomGenerator random, int daemonCount) {
 		this.directory = directory;
 		this.health = health;
+		this.slowdowns = slowdowns;
 		this.dataCentre = dataCentre;
 		this.random = random;
 		this.daemonCount = daemonCount;
@@ -105,17 +108,22 @@
 		Stream<Predicate<EngineInstance>> tiers = Stream.of(
 				unsuspected.and((engine) -> isBelowSaturation(profile, engine)), unsuspected, notEjected,
 				notFailed.and((engine) -> !this.health.isStalled(engine.id(), nowNanos)), notFailed);
-		return tiers.map((eligible) -> findPath(exchange, service, engines.stream().filter(eligible).toList()))
+		return tiers
+			.map((eligible) -> findPath(exchange, service, engines.stream().filter(eligible).toList(), nowNanos))
 			.flatMap(Optional::stream)
 			.findFirst();
 	}
 
-	private Optional<EnginePath> findPath(RelayExchange exchange, String service, List<EngineInstance> engines) {
+	private Optional<EnginePath> findPath(RelayExchange exchange, String service, List<EngineInstance> engines,
+			long nowNanos) {
 		EngineProfile profile = this.profiles.get(service);
 		return this.pathFinders.get(service)
 			.find(engines, requestTokens(exchange),
-					(engine) -> 1 + utilization(profile, engine) * SLOWDOWN_AT_FULL_UTILIZATION,
-					(engine) -> this.load.pendingPromptTokens(engine.id()) * this.daemonCount, this.random);
+					(engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
+							* (1 + utilization(profile, engine) * SLOWDOWN_AT_FULL_UTILIZATION),
+					(engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
+							* this.load.pendingPromptTokens(engine.id()) * this.daemonCount,
+					this.random);
 	}
 
 	private boolean isBelowSaturation(EngineProfile profile, EngineInstance engine) {
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/LayerCapacityTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/LayerCapacityTest.java
@@ -14,7 +14,7 @@
 	private static LayerCapacity capacityOf(EngineInstance... engines) {
 		LayerCapacity capacity = new LayerCapacity(TestEngines.PROFILE, 100);
 		for (EngineInstance engine : engines) {
-			capacity.addHolder(engine, engine.layers().orElseThrow());
+			capacity.addHolder(engine, engine.layers().orElseThrow(), 1);
 		}
 		return capacity;
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/LayerPlannerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/LayerPlannerTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -121,6 +122,25 @@
 		assertThat(this.planner.plan(applyPlacements(engines, placements))).isEmpty();
 	}
 
+	/**
+	 * Pattern: one engine of each replica turns slow (trouble-2 of the badge fleet).
+	 * Fails if its layers get no second holder although an engine is empty, or if an
+	 * empty engine that is slow itself is used.
+	 */
+	@Test
+	void emptyEngineTakesOverLayersOfSlowEngine() {
+		EngineInstance slow = TestEngines.engineWithLayers("slow", "large", "a", 27, 52);
+		EngineInstance slowSpare = TestEngines.engineWithoutLayers("slow-spare", "large", "a");
+		EngineInstance spare = TestEngines.engineWithoutLayers("spare", "large", "a");
+		List<EngineInstance> engines = List.of(TestEngines.engineWithLayers("first", "large", "a", 0, 27), slow,
+				TestEngines.engineWithLayers("last", "large", "a", 52, 80), slowSpare, spare);
+		assertThat(this.planner.plan(engines)).isEmpty();
+		ToDoubleFunction<EngineInstance> slowdown = (engine) -> (engine.id().startsWith("slow")) ? 12 : 1;
+		List<Placement> placements = this.planner.plan(engines, slowdown);
+		assertThat(placements).containsExactly(new Placement(spare, new LayerRange(27, 52)));
+		assertThat(this.planner.plan(applyPlacements(engines, placements), slowdown)).isEmpty();
+	}
+
 	/**
 	 * Fails if a placement removes a layer from an engine or exceeds its memory in a
 	 * series of engine restarts.
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -45,7 +45,9 @@
 
 	private final UpstreamHealth health = new UpstreamHealth();
 
-	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.health, "dc",
+	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
+
+	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, "dc",
 			new SplittableRandom(1), 1);
 
 	private final RelayExchange exchange = exchange();
@@ -132,4 +134,22 @@
 		assertThat(selectPath()).containsExactly("first", "second").inOrder();
 	}
 
+	/**
+	 * Pattern: some engines of a model turn slow (trouble-2 of a fleet of four daemons).
+	 * Fails if requests still pass through an engine that reported to be slow although
+	 * another one holds the same layers, or if its report is used for too long.
+	 */
+	@Test
+	void avoidsSlowEngineWhileItsReportIsRecent() {
+		put("other", 5, 10, 134);
+		this.slowdowns.record("second", 12, 0);
+		for (int i = 0; i < 100; i++) {
+			assertThat(selectPath()).containsExactly("first", "other").inOrder();
+		}
+		this.slowdowns.record("other", 20, 0);
+		assertThat(selectPath()).containsExactly("first", "second").inOrder();
+		this.slowdowns.record("second", 1, 0);
+		assertThat(selectPath()).containsExactly("first", "second").inOrder();
+	}
+
 }
