Pace store calls by the size of the fleet

Each daemon returned from its watch of upstreams up to four times a second while 205 engines loaded layers, listed five pages at its start and followed each change of the configuration with a short watch; both watchers probed during an outage. Change: pauses after changes grow with the number of daemons, within parts of the limits that the settings now give; the first list of upstreams may come from a cached copy; a change is confirmed by a watch that ends when the confirmation would become too old; the upstream watcher waits while that of the configuration probes; the census counts all pages.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -97,6 +97,10 @@
 	private final AtomicReference<PlacementView> placementView = new AtomicReference<>(
 			new PlacementView(Map.of(), Map.of(), Map.of()));
 
+	private volatile PropagationLimits propagationLimits;
+
+	private volatile int daemonCount = RelayControl.DEFAULT_DAEMON_COUNT;
+
 	private final CountDownLatch closeLatch = new CountDownLatch(1);
 
 	/**
@@ -116,21 +120,34 @@
 				this.engineProber, new RelayMetrics(this.metrics));
 		this.callerServer = new RelayServer(settings.callerAddress(), this.relayControl::acceptRequest);
 		this.readinessServer = new RelayServer(settings.readinessAddress(), this::handleProbe);
-		this.settingsReloader = new SettingsReloader(source, settings, this.relayControl::reload);
+		this.propagationLimits = settings.propagationLimits();
+		this.settingsReloader = new SettingsReloader(source, settings, this::reload);
 		this.configurationWatcher = new KindWatcher(adapter.store(), adapter.configurationKind(),
 				new ConfigurationListener(adapter.configurationKind(), adapter.configurationDecoder()),
-				WatchTiming.CONFIGURATION, this.clock, new SplittableRandom(secureRandom.nextLong()));
+				() -> WatchTiming.ofConfiguration(this.propagationLimits, this.daemonCount), () -> {
+				}, this.clock, new SplittableRandom(secureRandom.nextLong()));
 		this.upstreamWatcher = new KindWatcher(adapter.store(), adapter.upstreamKind(),
-				new UpstreamListener(adapter.upstreamKind(), adapter.upstreamDecoder()), WatchTiming.UPSTREAMS,
-				this.clock, new SplittableRandom(secureRandom.nextLong()));
-		this.routerMembership = new RouterMembership(adapter.store(), settings.name(),
-				(count) -> this.controlThread.post(() -> this.relayControl.updateDaemonCount(count)));
+				new UpstreamListener(adapter.upstreamKind(), adapter.upstreamDecoder()),
+				() -> WatchTiming.ofUpstreams(this.propagationLimits, this.daemonCount),
+				this.configurationWatcher::awaitStoreAvailable, this.clock,
+				new SplittableRandom(secureRandom.nextLong()));
+		this.routerMembership = new RouterMembership(adapter.store(), settings.name(), this::updateDaemonCount);
 		this.placementRunner = new PlacementRunner(this.placementView::get,
 				new OrderLease(settings.name(), PlacementRunner.LEASE_DURATION),
 				new LeaseActionExecutor(new ObjectLeaseStore(adapter.store()), PlacementRunner.LEASE_NAME),
 				adapter.placementClient(), this.clock, () -> newLeaseToken(secureRandom));
 	}
 
+	private void reload(RelaySettings changed) {
+		this.propagationLimits = changed.propagationLimits();
+		this.relayControl.reload(changed);
+	}
+
+	private void updateDaemonCount(int count) {
+		this.daemonCount = Math.max(1, count);
+		this.controlThread.post(() -> this.relayControl.updateDaemonCount(count));
+	}
+
 	private static String newLeaseToken(SecureRandom random) {
 		byte[] bytes = new byte[LEASE_TOKEN_BYTES];
 		random.nextBytes(bytes);
@@ -263,6 +280,11 @@
 			this.decoder = decoder;
 		}
 
+		@Override
+		public boolean needsCurrentList() {
+			return true;
+		}
+
 		@Override
 		public void onListed(List<StoredObject> objects, ClockReading asOf) {
 			applyVersions(objects, asOf);
@@ -295,6 +317,11 @@
 			this.decoder = decoder;
 		}
 
+		@Override
+		public boolean needsCurrentList() {
+			return false;
+		}
+
 		@Override
 		public void onListed(List<StoredObject> objects, ClockReading asOf) {
 			List<DirectoryEntry> entries = objects.stream()
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.slf4j.Logger;
@@ -41,6 +42,15 @@
 	 */
 	private static final int MAX_RETRY_DELAY_MILLIS = 600;
 
+	/** Minimum timeout of a watch while the store is available. */
+	private static final Duration MIN_WATCH_TIMEOUT = Duration.ofMillis(300);
+
+	/**
+	 * Maximum wait for another watcher to reach the store. Bounds the effect of a store
+	 * that serves one kind of objects and not the other.
+	 */
+	private static final Duration MAX_RECOVERY_WAIT = Duration.ofSeconds(2);
+
 	private static final int PAGE_SIZE = 500;
 
 	private final ObjectStore store;
@@ -49,7 +59,13 @@
 
 	private final KindListener listener;
 
-	private final WatchTiming timing;
+	private final Supplier<WatchTiming> timing;
+
+	/**
+	 * Called after a failed call. Blocks while the watcher of another kind probes for the
+	 * recovery of the store, so that an outage does not cost the calls of both.
+	 */
+	private final Runnable recoveryWait;
 
 	private final MonotonicClock clock;
 
@@ -59,16 +75,21 @@
 
 	private final Thread thread;
 
+	private final Object availabilityMonitor = new Object();
+
 	private boolean storeAvailable = true;
 
-	private boolean lastWatchHadChanges;
+	private boolean everListed;
 
-	KindWatcher(ObjectStore store, String kind, KindListener listener, WatchTiming timing, MonotonicClock clock,
-			RandomGenerator random) {
+	private ClockReading confirmedAsOf;
+
+	KindWatcher(ObjectStore store, String kind, KindListener listener, Supplier<WatchTiming> timing,
+			Runnable recoveryWait, MonotonicClock clock, RandomGenerator random) {
 		this.store = Objects.requireNonNull(store, "store");
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.listener = Objects.requireNonNull(listener, "listener");
 		this.timing = Objects.requireNonNull(timing, "timing");
+		this.recoveryWait = Objects.requireNonNull(recoveryWait, "recoveryWait");
 		this.clock = clock;
 		this.random = random;
 		this.thread = new Thread(this::run, "follow-" + kind);
@@ -101,20 +122,32 @@
 	private long list() throws PeerException {
 		ClockReading sentAt = ClockReading.now(this.clock);
 		List<StoredObject> objects = new ArrayList<>();
-		ObjectPage page = this.store.list(Set.of(this.kind), "", PAGE_SIZE);
-		// Watching from the first page's revision also returns changes that are made
+		ObjectPage page = readPage("");
+		// Watching from the oldest page's revision also returns changes that are made
 		// while further pages are read.
 		long revision = page.revision();
 		objects.addAll(page.objects());
 		while (page.more() && !page.objects().isEmpty()) {
-			page = this.store.list(Set.of(this.kind), page.objects().get(page.objects().size() - 1).name(), PAGE_SIZE);
+			page = readPage(page.objects().get(page.objects().size() - 1).name());
+			revision = Math.min(revision, page.revision());
 			objects.addAll(page.objects());
 		}
 		recordSuccess();
+		this.everListed = true;
+		this.confirmedAsOf = sentAt;
 		this.listener.onListed(objects, sentAt);
 		return revision;
 	}
 
+	// Reads the first list from a cached copy if the listener does not need its age: the
+	// watch that follows returns what the copy lacks. A list after a compaction must be
+	// current, since the history that the copy lacks may be gone.
+	private ObjectPage readPage(String after) throws PeerException {
+		return (this.everListed || this.listener.needsCurrentList())
+				? this.store.list(Set.of(this.kind), after, PAGE_SIZE)
+				: this.store.listCached(Set.of(this.kind), after, PAGE_SIZE);
+	}
+
 	private WatchResult watch(long revision) throws PeerException {
 		ClockReading sentAt = ClockReading.now(this.clock);
 		Duration timeout = nextWatchTimeout();
@@ -128,11 +161,11 @@
 			return result;
 		}
 		boolean timedOut = (this.clock.nanos() - sentAt.monotonicNanos()) >= timeout.toNanos();
-		this.lastWatchHadChanges = !result.changes().isEmpty();
-		this.listener.onChanged(result.changes(),
-				(!this.lastWatchHadChanges && timedOut) ? sentAt.plus(timeout) : sentAt);
-		if (this.lastWatchHadChanges) {
-			pause(this.timing.batchDelay().toMillis());
+		boolean changed = !result.changes().isEmpty();
+		this.confirmedAsOf = (!changed && timedOut) ? sentAt.plus(timeout) : sentAt;
+		this.listener.onChanged(result.changes(), this.confirmedAsOf);
+		if (changed) {
+			pause(this.timing.get().batchDelay().toMillis());
 		}
 		return result;
 	}
@@ -141,12 +174,17 @@
 		if (!this.storeAvailable) {
 			return UNAVAILABLE_WATCH_TIMEOUT;
 		}
-		return this.lastWatchHadChanges ? this.timing.timeoutAfterChange() : this.timing.watchTimeout();
+		WatchTiming current = this.timing.get();
+		Duration untilConfirmation = current.maxConfirmationAge()
+			.minusNanos(this.clock.nanos() - this.confirmedAsOf.monotonicNanos());
+		Duration timeout = (untilConfirmation.compareTo(current.watchTimeout()) < 0) ? untilConfirmation
+				: current.watchTimeout();
+		return (timeout.compareTo(MIN_WATCH_TIMEOUT) < 0) ? MIN_WATCH_TIMEOUT : timeout;
 	}
 
 	private void recordSuccess() {
 		if (!this.storeAvailable) {
-			this.storeAvailable = true;
+			setStoreAvailable(true);
 			this.listener.onStoreAvailable();
 			logger.atInfo().addKeyValue("kind", this.kind).log("store is available again");
 		}
@@ -157,7 +195,7 @@
 			return;
 		}
 		if (this.storeAvailable) {
-			this.storeAvailable = false;
+			setStoreAvailable(false);
 			this.listener.onStoreUnavailable();
 			logger.atWarn()
 				.addKeyValue("kind", this.kind)
@@ -165,6 +203,33 @@
 				.log("store is unavailable");
 		}
 		pause(this.random.nextInt(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS));
+		this.recoveryWait.run();
+	}
+
+	private void setStoreAvailable(boolean available) {
+		synchronized (this.availabilityMonitor) {
+			this.storeAvailable = available;
+			this.availabilityMonitor.notifyAll();
+		}
+	}
+
+	// Waits until this watcher has reached the store again, for a limited time. Called by
+	// the watcher of another kind.
+	void awaitStoreAvailable() {
+		long deadlineNanos = this.clock.nanos() + MAX_RECOVERY_WAIT.toNanos();
+		synchronized (this.availabilityMonitor) {
+			long remainingNanos = MAX_RECOVERY_WAIT.toNanos();
+			while (!this.storeAvailable && remainingNanos > 0) {
+				try {
+					TimeUnit.NANOSECONDS.timedWait(this.availabilityMonitor, remainingNanos);
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+					return;
+				}
+				remainingNanos = deadlineNanos - this.clock.nanos();
+			}
+		}
 	}
 
 	private void pause(long millis) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -65,7 +65,7 @@
 	private static final Duration MIN_REMAINING_TIME = Duration.ofMillis(30);
 
 	/** Number of daemons assumed until they have been counted. */
-	private static final int DEFAULT_DAEMON_COUNT = 8;
+	static final int DEFAULT_DAEMON_COUNT = 8;
 
 	/** Maximum wait for the first configuration, which usually arrives within 0.1 s. */
 	private static final Duration MAX_CONFIGURATION_WAIT = Duration.ofMillis(250);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettings.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettings.java
@@ -14,14 +14,15 @@
  * @param readinessAddress the address of the readiness check and metrics, not null
  * @param platformAddress the address of the platform's store, not null
  * @param revocationLimit the time after which revoked keys must be rejected, not null
+ * @param propagationLimits the limits for acting on changes in the store, not null
  * @param shutdownGrace the time from the stop signal to the process exit, not null
  * @param retryRatio the permitted ratio of all daemons' retries to requests, per service
  * @param retryBurst the number of retries that all daemons may send beyond the ratio
  * @param retryWindow the sliding window for counting requests and retries, not null
  */
 public record RelaySettings(String name, String dataCentre, Address callerAddress, Address readinessAddress,
-		Address platformAddress, Duration revocationLimit, Duration shutdownGrace, double retryRatio, double retryBurst,
-		Duration retryWindow) {
+		Address platformAddress, Duration revocationLimit, PropagationLimits propagationLimits, Duration shutdownGrace,
+		double retryRatio, double retryBurst, Duration retryWindow) {
 
 	/**
 	 * Creates settings.
@@ -31,6 +32,7 @@
 	 * @param readinessAddress the address of the readiness check and metrics, not null
 	 * @param platformAddress the address of the platform's store, not null
 	 * @param revocationLimit the time after which revoked keys must be rejected, not null
+	 * @param propagationLimits the limits for acting on changes in the store, not null
 	 * @param shutdownGrace the time from the stop signal to the process exit, not null
 	 * @param retryRatio the permitted ratio of retries to requests
 	 * @param retryBurst the number of retries permitted beyond the ratio
@@ -43,6 +45,7 @@
 		Objects.requireNonNull(readinessAddress, "readinessAddress");
 		Objects.requireNonNull(platformAddress, "platformAddress");
 		Objects.requireNonNull(revocationLimit, "revocationLimit");
+		Objects.requireNonNull(propagationLimits, "propagationLimits");
 		Objects.requireNonNull(shutdownGrace, "shutdownGrace");
 		Objects.requireNonNull(retryWindow, "retryWindow");
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
@@ -17,6 +17,12 @@
 
 	private static final int DEFAULT_STOP_GRACE_SECONDS = 8;
 
+	private static final int DEFAULT_DRAIN_MILLIS = 2000;
+
+	private static final int DEFAULT_CONFIGURATION_MILLIS = 2000;
+
+	private static final int DEFAULT_CONTACT_MILLIS = 3000;
+
 	private static final int MAX_STOP_GRACE_SECONDS = 3600;
 
 	private static final double DEFAULT_RETRY_RATIO = 0.1;
@@ -52,6 +58,10 @@
 		Optional<Address> readinessAddress = file.requiredAddress("listen.readiness");
 		Optional<Address> platformAddress = file.requiredAddress("platform.address");
 		Duration revocationLimit = file.millis("bounds.revocation_ms", DEFAULT_REVOCATION_MILLIS);
+		PropagationLimits propagationLimits = new PropagationLimits(
+				file.millis("bounds.drain_ms", DEFAULT_DRAIN_MILLIS),
+				file.millis("bounds.configuration_ms", DEFAULT_CONFIGURATION_MILLIS),
+				file.millis("bounds.contact_ms", DEFAULT_CONTACT_MILLIS));
 		double shutdownGrace = file.decimal("bounds.stop_grace_s", DEFAULT_STOP_GRACE_SECONDS, 1,
 				MAX_STOP_GRACE_SECONDS);
 		double retryRatio = file.decimal("bounds.retry_ratio", DEFAULT_RETRY_RATIO, 0, 1);
@@ -60,7 +70,7 @@
 				MAX_RETRY_WINDOW_SECONDS);
 		file.throwIfInvalid();
 		return new RelaySettings(name.orElseThrow(), dataCentre.orElseThrow(), callerAddress.orElseThrow(),
-				readinessAddress.orElseThrow(), platformAddress.orElseThrow(), revocationLimit,
+				readinessAddress.orElseThrow(), platformAddress.orElseThrow(), revocationLimit, propagationLimits,
 				secondsToDuration(shutdownGrace), retryRatio, retryBurst, secondsToDuration(retryWindow));
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.PeerException;
+import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
 
 /**
@@ -92,13 +93,23 @@
 
 	private void countDaemons() {
 		try {
-			this.countListener.accept(this.store.list(Set.of(KIND), "", MAX_DAEMONS).objects().size());
+			this.countListener.accept(countEntries());
 		}
 		catch (PeerException ex) {
 			logger.atInfo().addKeyValue("cause", ex.toString()).log("daemons could not be counted");
 		}
 	}
 
+	private int countEntries() throws PeerException {
+		ObjectPage page = this.store.list(Set.of(KIND), "", MAX_DAEMONS);
+		int count = page.objects().size();
+		while (page.more() && !page.objects().isEmpty()) {
+			page = this.store.list(Set.of(KIND), page.objects().get(page.objects().size() - 1).name(), MAX_DAEMONS);
+			count += page.objects().size();
+		}
+		return count;
+	}
+
 	@Override
 	public void close() {
 		this.closed.countDown();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
@@ -8,32 +8,79 @@
  * trades calls for delay. Immutable and thread-safe.
  *
  * @param watchTimeout the timeout of a watch while nothing changes, not null
- * @param timeoutAfterChange the timeout of the watch after one that returned changes; a
- * short one soon confirms that the changed objects are current, not null
+ * @param maxConfirmationAge the age of the last confirmation that the known objects are
+ * current by which the next watch must end, not null
  * @param batchDelay the pause after changes, so that changes accumulate, not null
  */
-record WatchTiming(Duration watchTimeout, Duration timeoutAfterChange, Duration batchDelay) {
+record WatchTiming(Duration watchTimeout, Duration maxConfirmationAge, Duration batchDelay) {
 
 	/**
-	 * Timing for the configuration. A watch that returns changes and the next one, which
-	 * confirms them, together take less than the age at which keys are no longer
-	 * accepted. The pause is far below the time within which a change must be applied.
+	 * Timeout of a watch of the configuration. With the time until a silent connection is
+	 * noticed, it stays below the age at which keys are no longer accepted.
 	 */
-	static final WatchTiming CONFIGURATION = new WatchTiming(Duration.ofMillis(2800), Duration.ofMillis(600),
-			Duration.ofMillis(100));
+	private static final Duration CONFIGURATION_TIMEOUT = Duration.ofMillis(2800);
 
 	/**
-	 * Timing for upstreams. The 2 s limits on leaving upstreams are suspended for 3 s
-	 * when a connection goes silent; the watch timeout detects this within the sum of
-	 * both, 5 s. The pause in which changes accumulate is far below these limits.
+	 * Age by which a changed configuration must be confirmed. With the timeout of a call,
+	 * it stays below the age at which keys are no longer accepted.
 	 */
-	static final WatchTiming UPSTREAMS = new WatchTiming(Duration.ofMillis(4000), Duration.ofMillis(4000),
-			Duration.ofMillis(250));
+	private static final Duration CONFIGURATION_CONFIRMATION_AGE = Duration.ofMillis(3400);
+
+	private static final Duration MIN_CONFIGURATION_BATCH_DELAY = Duration.ofMillis(100);
+
+	/** Part of the limit on applying a configuration for which changes accumulate. */
+	private static final int CONFIGURATION_BATCH_DIVISOR = 8;
+
+	/**
+	 * Maximum timeout of a watch of upstreams. An outage that cuts a watch silently is
+	 * noticed only after it.
+	 */
+	private static final Duration MAX_UPSTREAM_TIMEOUT = Duration.ofMillis(6000);
+
+	/** Part of the limits on leaving upstreams that is left to calls and decisions. */
+	private static final Duration UPSTREAM_TIMEOUT_MARGIN = Duration.ofMillis(1000);
+
+	private static final Duration MIN_UPSTREAM_BATCH_DELAY = Duration.ofMillis(250);
+
+	/** Part of the limit on leaving upstreams for which changes accumulate. */
+	private static final int UPSTREAM_BATCH_DIVISOR = 4;
+
+	/**
+	 * Additional pause for each daemon, since each change costs one call of each daemon:
+	 * all daemons together make at most 40 calls a second for changes of one kind.
+	 */
+	private static final Duration BATCH_DELAY_PER_DAEMON = Duration.ofMillis(25);
 
 	WatchTiming {
 		Objects.requireNonNull(watchTimeout, "watchTimeout");
-		Objects.requireNonNull(timeoutAfterChange, "timeoutAfterChange");
+		Objects.requireNonNull(maxConfirmationAge, "maxConfirmationAge");
 		Objects.requireNonNull(batchDelay, "batchDelay");
 	}
 
+	// Returns the timing for the configuration in a fleet of daemons.
+	static WatchTiming ofConfiguration(PropagationLimits limits, int daemonCount) {
+		return new WatchTiming(CONFIGURATION_TIMEOUT, CONFIGURATION_CONFIRMATION_AGE,
+				batchDelay(MIN_CONFIGURATION_BATCH_DELAY, limits.configuration().dividedBy(CONFIGURATION_BATCH_DIVISOR),
+						daemonCount));
+	}
+
+	// Returns the timing for upstreams in a fleet of daemons. A connection that goes
+	// silent suspends the limit on leaving upstreams for the contact time; the timeout of
+	// the watch detects this within the sum of both.
+	static WatchTiming ofUpstreams(PropagationLimits limits, int daemonCount) {
+		Duration detection = limits.drain().plus(limits.contact()).minus(UPSTREAM_TIMEOUT_MARGIN);
+		Duration timeout = min(detection, MAX_UPSTREAM_TIMEOUT);
+		return new WatchTiming(timeout, timeout.multipliedBy(2),
+				batchDelay(MIN_UPSTREAM_BATCH_DELAY, limits.drain().dividedBy(UPSTREAM_BATCH_DIVISOR), daemonCount));
+	}
+
+	private static Duration batchDelay(Duration minimum, Duration maximum, int daemonCount) {
+		Duration delay = min(BATCH_DELAY_PER_DAEMON.multipliedBy(daemonCount), maximum);
+		return (delay.compareTo(minimum) < 0) ? minimum : delay;
+	}
+
+	private static Duration min(Duration left, Duration right) {
+		return (left.compareTo(right) < 0) ? left : right;
+	}
+
 }
