Let a later instance replace the listed one at its address

Change: an address belongs to the instance that started last; the engine at fault is looked up in the path of the attempt first; an engine that lacks the layers is ejected like a failed one, not like a full one. Seen to fail before: UpstreamDirectoryTest.laterInstanceReplacesEntryWithItsAddress (unexpected: former).

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EnginePath.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EnginePath.java
@@ -2,8 +2,11 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
+import org.mulberrycross.Address;
+
 /**
  * Sequence of engines that process a request. The stages cover the layers without gap or
  * overlap from layer 0 on, and no engine appears twice. Immutable and thread-safe.
@@ -41,4 +44,16 @@
 		return this.stages.get(0).engine();
 	}
 
+	/**
+	 * Returns the engine of this path at an address.
+	 * @param address the address, not null
+	 * @return the engine, or empty if no stage has the address
+	 */
+	public Optional<EngineInstance> engineAt(Address address) {
+		return this.stages.stream()
+			.map(PathStage::engine)
+			.filter((engine) -> engine.upstream().address().equals(address))
+			.findFirst();
+	}
+
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -15,6 +15,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.mulberrycross.Address;
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.caller.ClientCall;
@@ -316,14 +317,15 @@
 	}
 
 	// Ejects the engine that caused the rejection, or the upstream if no engine is named.
+	// An engine that was sent layers that it does not hold is not merely saturated: its
+	// entry is outdated until it publishes a new one.
 	private void recordRejection(RelayAttempt attempt, UpstreamResponseHead upstreamHead, String reason) {
 		long nowNanos = this.clock.nanos();
 		String id = upstreamHead.faultyEngine()
-			.flatMap(this.directory::findByAddress)
-			.map((entry) -> entry.instance().id())
+			.flatMap((address) -> findFaultyEngine(attempt, address))
 			.orElse(attempt.forwarding().upstream().id());
 		attempt.exchange().failedUpstreams().add(id);
-		if (attempt.forwarding().path().isPresent()
+		if (attempt.forwarding().path().isPresent() && !upstreamHead.misdirected()
 				&& nowNanos - attempt.startedNanos() < MAX_SATURATION_REPLY_TIME.toNanos()) {
 			this.health.recordSaturation(id, nowNanos);
 			return;
@@ -331,6 +333,16 @@
 		this.health.recordFailure(id, reason, nowNanos);
 	}
 
+	// Returns the engine of the attempt's path at an address. The directory may already
+	// list the next instance there.
+	private Optional<String> findFaultyEngine(RelayAttempt attempt, Address address) {
+		return attempt.forwarding()
+			.path()
+			.flatMap((path) -> path.engineAt(address))
+			.map(EngineInstance::id)
+			.or(() -> this.directory.findByAddress(address).map((entry) -> entry.instance().id()));
+	}
+
 	@Override
 	public void onAttemptFailed(RelayAttempt attempt, String reason) {
 		this.controlThread.post(() -> {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -30,6 +30,9 @@
 
 	private final Map<String, DirectoryEntry> entries = new HashMap<>();
 
+	/** The id of the entry that started last at each address. */
+	private final Map<Address, String> idsByAddress = new HashMap<>();
+
 	/**
 	 * Ids of entries whose removal was postponed because of an outage, with the monotonic
 	 * time in nanoseconds from which they may be dropped.
@@ -66,8 +69,18 @@
 		});
 	}
 
+	// Adds or updates an entry. An address belongs to the instance that started last: the
+	// entry of an instance that crashed stays listed until it expires, and may still be
+	// updated, after the next one has started there.
 	void put(DirectoryEntry entry) {
 		String id = entry.instance().id();
+		Optional<DirectoryEntry> other = findByAddress(entry.instance().address())
+			.filter((found) -> !found.instance().id().equals(id));
+		if (other.isPresent() && startedLater(other.get(), entry)) {
+			return;
+		}
+		other.filter((found) -> startedLater(entry, found)).ifPresent((former) -> drop(former, "started again"));
+		this.idsByAddress.put(entry.instance().address(), id);
 		this.removalDeadlines.remove(id);
 		DirectoryEntry previous = this.entries.put(id, entry);
 		if (previous == null || !previous.equals(entry)) {
@@ -82,9 +95,22 @@
 		}
 	}
 
+	private static boolean startedLater(DirectoryEntry left, DirectoryEntry right) {
+		return left.instance().startedMillis() > right.instance().startedMillis();
+	}
+
+	private void drop(DirectoryEntry entry, String reason) {
+		String id = entry.instance().id();
+		this.entries.remove(id);
+		this.removalDeadlines.remove(id);
+		this.idsByAddress.remove(entry.instance().address(), id);
+		logger.atInfo().addKeyValue("upstream", id).addKeyValue("reason", reason).log("upstream removed");
+	}
+
 	// Removes an entry, or schedules its removal during and shortly after an outage.
 	void remove(String id, long nowNanos) {
-		if (!this.entries.containsKey(id)) {
+		DirectoryEntry entry = this.entries.get(id);
+		if (entry == null) {
 			return;
 		}
 		boolean justRecovered = this.availableSinceNanos.isPresent()
@@ -94,9 +120,7 @@
 			this.removalDeadlines.putIfAbsent(id, nowNanos + REREGISTRATION_TIME.toNanos());
 			return;
 		}
-		this.entries.remove(id);
-		this.removalDeadlines.remove(id);
-		logger.atInfo().addKeyValue("upstream", id).log("upstream removed");
+		drop(entry, "not listed");
 	}
 
 	// Removes entries that were not registered again in time after an outage.
@@ -107,11 +131,7 @@
 		long reregistrationEndNanos = this.availableSinceNanos.orElse(nowNanos) + REREGISTRATION_TIME.toNanos();
 		Map.copyOf(this.removalDeadlines).forEach((id, deadlineNanos) -> {
 			if (nowNanos - Math.max(deadlineNanos, reregistrationEndNanos) >= 0) {
-				this.removalDeadlines.remove(id);
-				this.entries.remove(id);
-				logger.atInfo()
-					.addKeyValue("upstream", id)
-					.log("upstream removed: not registered again after the store outage");
+				drop(this.entries.get(id), "not registered again after the store outage");
 			}
 		});
 	}
@@ -134,7 +154,7 @@
 	}
 
 	Optional<DirectoryEntry> findByAddress(Address address) {
-		return this.entries.values().stream().filter((entry) -> entry.instance().address().equals(address)).findFirst();
+		return Optional.ofNullable(this.idsByAddress.get(address)).map(this.entries::get);
 	}
 
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
@@ -25,6 +25,12 @@
 				Optional.empty());
 	}
 
+	private static DirectoryEntry startedAt(String id, int port, long startedMillis) {
+		return new DirectoryEntry(
+				new UpstreamInstance(id, "s", new Address("10.0.0.1", port), "dc", false, 1, startedMillis),
+				Optional.empty());
+	}
+
 	private List<String> eligibleIds() {
 		return this.directory.eligibleEntries("s").stream().map((entry) -> entry.instance().id()).toList();
 	}
@@ -37,6 +43,26 @@
 		assertThat(eligibleIds()).isEmpty();
 	}
 
+	/**
+	 * Pattern: engines crash and start again within seconds (trouble-3 of the badge
+	 * fleet). Fails if the entry of the former instance, which stays listed for some
+	 * seconds, still gets requests, or if a failure at its address is attributed to it.
+	 */
+	@Test
+	void laterInstanceReplacesEntryWithItsAddress() {
+		this.directory.put(startedAt("former", 80, 1000));
+		this.directory.put(startedAt("neighbour", 81, 1000));
+		this.directory.put(startedAt("later", 80, 5000));
+		assertThat(eligibleIds()).containsExactly("later", "neighbour");
+		assertThat(this.directory.findByAddress(new Address("10.0.0.1", 80)).map((entry) -> entry.instance().id()))
+			.isEqualTo(Optional.of("later"));
+		// The store may still publish an update of the former entry.
+		this.directory.put(startedAt("former", 80, 1000));
+		assertThat(eligibleIds()).containsExactly("later", "neighbour");
+		this.directory.remove("former", NANOS_PER_SECOND);
+		assertThat(this.directory.findByAddress(new Address("10.0.0.1", 80))).isPresent();
+	}
+
 	/** Fails if an upstream that is removed without an outage is kept. */
 	@Test
 	void removesEntryAtOnceWithoutOutage() {
