Make no lease calls that cannot succeed during an outage of the store

Cause: while the store is down and engines lack holders of layers, each daemon asked for the placement lease in each planning period, five refused calls a second. Change: no call for the lease while the store is known to be away, and a pause of 0.8 s after one that failed. Orders under a lease that is still valid go on. Seen to fail before: PlacementRunnerTest.requestsNoLeaseDuringOutage and waitsAfterFailedLeaseCall (40 calls in 8 s each).

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -95,7 +95,7 @@
 	private final PlacementRunner placementRunner;
 
 	private final AtomicReference<PlacementView> placementView = new AtomicReference<>(
-			new PlacementView(Map.of(), Map.of(), Map.of()));
+			new PlacementView(Map.of(), Map.of(), Map.of(), true));
 
 	private volatile PropagationLimits propagationLimits;
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -49,6 +49,9 @@
 	 */
 	static final Duration LEASE_DURATION = Duration.ofSeconds(4);
 
+	/** Delay after a failed call for the lease; leaves time for two renewals. */
+	private static final Duration LEASE_RETRY_DELAY = Duration.ofMillis(800);
+
 	private static final Duration PLANNING_PERIOD = Duration.ofMillis(200);
 
 	/** Timeout for each call of an order; hundreds of round trips within a region. */
@@ -90,6 +93,9 @@
 
 	private LeaseState leaseState = LeaseState.initial();
 
+	/** The monotonic time before which no call is made after a failed one. */
+	private OptionalLong leaseRetryNanos = OptionalLong.empty();
+
 	/**
 	 * Set when an engine has seen a higher fencing number, which means that another
 	 * daemon holds the lease.
@@ -122,7 +128,8 @@
 		}
 	}
 
-	private void planAndOrder() throws InterruptedException {
+	// Plans once, and sends the orders if this daemon holds the lease.
+	void planAndOrder() throws InterruptedException {
 		PlacementView view = this.viewSource.get();
 		long nowNanos = this.clock.nanos();
 		List<Placement> placements = view.profiles()
@@ -138,7 +145,9 @@
 			this.leaseState = LeaseState.initial();
 			logger.info("placement lease abandoned: an engine has seen a higher fencing number");
 		}
-		advanceLease();
+		if (view.storeAvailable() && nowNanos - this.leaseRetryNanos.orElse(nowNanos) >= 0) {
+			advanceLease();
+		}
 		Optional<LeaseGrant> grant = this.leaseState.grant()
 			.filter((held) -> held.isValidFor(ORDER_TIMEOUT, this.clock.nanos()));
 		if (grant.isPresent()) {
@@ -163,9 +172,14 @@
 	}
 
 	private void advanceLease() {
+		this.leaseRetryNanos = OptionalLong.empty();
 		Optional<LeaseAction> action = applyLeaseEvent(new LeaseEvent.Tick(this.leaseTokens.get()));
 		while (action.isPresent()) {
-			action = applyLeaseEvent(this.leaseExecutor.execute(action.get()));
+			LeaseEvent result = this.leaseExecutor.execute(action.get());
+			if (result instanceof LeaseEvent.CallFailed || result instanceof LeaseEvent.WriteOutcomeUnknown) {
+				this.leaseRetryNanos = OptionalLong.of(this.clock.nanos() + LEASE_RETRY_DELAY.toNanos());
+			}
+			action = applyLeaseEvent(result);
 		}
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementView.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementView.java
@@ -13,9 +13,10 @@
  * @param engines the engines that are not leaving, by service name
  * @param slowdowns the factors by which slow engines are slower than their kind, by
  * engine id
+ * @param storeAvailable whether the store is reachable, as far as is known
  */
 record PlacementView(Map<String, EngineProfile> profiles, Map<String, List<EngineInstance>> engines,
-		Map<String, Double> slowdowns) {
+		Map<String, Double> slowdowns, boolean storeAvailable) {
 
 	PlacementView {
 		profiles = Map.copyOf(profiles);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -147,7 +147,8 @@
 		Map<String, List<EngineInstance>> engines = profiles.keySet()
 			.stream()
 			.collect(Collectors.toMap(Function.identity(), this.directory::eligibleEngines));
-		return new PlacementView(profiles, engines, this.slowdowns.current(this.clock.nanos()));
+		return new PlacementView(profiles, engines, this.slowdowns.current(this.clock.nanos()),
+				this.directory.isStoreAvailable());
 	}
 
 	// Applies changed limits. Changed addresses take effect only after a restart.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -56,6 +56,10 @@
 		this.availableSinceNanos = OptionalLong.of(nowNanos);
 	}
 
+	boolean isStoreAvailable() {
+		return this.unavailableKinds.isEmpty();
+	}
+
 	void replaceAll(Collection<DirectoryEntry> listed, long nowNanos) {
 		Set<String> listedIds = new HashSet<>();
 		listed.forEach((entry) -> {
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/PlacementRunnerTest.java
@@ -0,0 +1,119 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.NotRunException;
+import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.Step;
+import org.mulberrycross.UpstreamInstance;
+import org.mulberrycross.engine.AcceleratorKind;
+import org.mulberrycross.engine.EngineInstance;
+import org.mulberrycross.engine.EngineProfile;
+import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.LeaseActionExecutor;
+import org.mulberrycross.engine.LeaseStore;
+import org.mulberrycross.engine.OrderLease;
+import org.mulberrycross.engine.OrderLeaseRecord;
+import org.mulberrycross.engine.Placement;
+import org.mulberrycross.engine.StoredLease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against lease calls that are charged but cannot succeed. Pattern: engines crash
+ * while the store is down for seconds (trouble-3 of the large fleet).
+ */
+class PlacementRunnerTest {
+
+	private static final long PLANNING_PERIOD_NANOS = Duration.ofMillis(200).toNanos();
+
+	private static final EngineProfile PROFILE = new EngineProfile(10, 100, 1, 1, 100, 100, 100, 1,
+			Map.of("kind", new AcceleratorKind("kind", 200_000, 1, 1)));
+
+	private long nowNanos;
+
+	private int leaseCalls;
+
+	private boolean storeAvailable = true;
+
+	private final PlacementRunner runner = new PlacementRunner(this::view,
+			new OrderLease("router-1", PlacementRunner.LEASE_DURATION),
+			new LeaseActionExecutor(new RejectingLeaseStore(), PlacementRunner.LEASE_NAME), new NoPlacementClient(),
+			() -> this.nowNanos, () -> "token");
+
+	// Returns a view in which half of the layers have no holder.
+	private PlacementView view() {
+		return new PlacementView(Map.of("model", PROFILE), Map.of("model",
+				List.of(engine("holder", Optional.of(new LayerRange(0, 5))), engine("empty", Optional.empty()))),
+				Map.of(), this.storeAvailable);
+	}
+
+	private static EngineInstance engine(String id, Optional<LayerRange> layers) {
+		return new EngineInstance(new UpstreamInstance(id, "model", new Address("10.0.0.1", 80), "dc", false, 134, 1),
+				"kind", layers, 1);
+	}
+
+	private void planFor(Duration time) throws InterruptedException {
+		for (long i = 0; i < time.toNanos() / PLANNING_PERIOD_NANOS; i++) {
+			this.runner.planAndOrder();
+			this.nowNanos += PLANNING_PERIOD_NANOS;
+		}
+	}
+
+	/** Fails if the lease is requested in each planning period of a known outage. */
+	@Test
+	void requestsNoLeaseDuringOutage() throws Exception {
+		this.storeAvailable = false;
+		planFor(Duration.ofSeconds(8));
+		assertThat(this.leaseCalls).isEqualTo(0);
+	}
+
+	/** Fails if a store that rejects the calls for the lease gets one in each period. */
+	@Test
+	void waitsAfterFailedLeaseCall() throws Exception {
+		planFor(Duration.ofSeconds(8));
+		assertThat(this.leaseCalls).isAtLeast(1);
+		assertThat(this.leaseCalls).isAtMost(11);
+	}
+
+	/** Counts and rejects all calls. */
+	private final class RejectingLeaseStore implements LeaseStore {
+
+		@Override
+		public Optional<StoredLease> read(String name) throws PeerException {
+			PlacementRunnerTest.this.leaseCalls++;
+			throw new NotRunException(Step.READ_OBJECT, new Peer(Peer.Kind.PLATFORM, "store"), "store is busy");
+		}
+
+		@Override
+		public OptionalLong write(String name, OrderLeaseRecord lease, long expectedVersion) throws PeerException {
+			PlacementRunnerTest.this.leaseCalls++;
+			throw new NotRunException(Step.WRITE_OBJECT, new Peer(Peer.Kind.PLATFORM, "store"), "store is busy");
+		}
+
+	}
+
+	/** Fails the test if an order is sent without a lease. */
+	private static final class NoPlacementClient implements PlacementClient {
+
+		@Override
+		public OptionalLong acceptedOrderCount(EngineInstance engine, Duration timeout) {
+			throw new AssertionError("order prepared without a lease");
+		}
+
+		@Override
+		public PlacementReply sendOrder(Placement placement, long expectedOrders, long fencing, Duration timeout) {
+			throw new AssertionError("order sent without a lease");
+		}
+
+	}
+
+}
