Limit responses that do not end, and count only events as progress of a stream

The body of a response was collected without a limit, also one of an error; an event without an end was collected and copied again with each part; any byte, also a comment, kept a stalled stream from being moved. The idle time of a stream counts from its last new event.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
@@ -12,6 +12,9 @@
  */
 public final class EventStream {
 
+	/** Maximum size of an event; those of engines have some hundred bytes. */
+	public static final int MAX_EVENT_BYTES = 256 << 10;
+
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
 	private static final byte[] EMPTY = {};
@@ -68,6 +71,14 @@
 		return this.buffer.toByteArray();
 	}
 
+	/**
+	 * Returns whether the incomplete event exceeds {@link #MAX_EVENT_BYTES}.
+	 * @return true if no further bytes should be passed to this stream
+	 */
+	public boolean isEventOversized() {
+		return this.buffer.size() > MAX_EVENT_BYTES;
+	}
+
 	/**
 	 * Returns the id of the last event that the client has.
 	 * @return the id, or empty if it has no event with an id
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchange.java
@@ -17,6 +17,12 @@
  */
 final class HttpExchange {
 
+	/**
+	 * Maximum size of a reply. A page or the changes of a watch have at most some
+	 * megabytes.
+	 */
+	static final int MAX_REPLY_BYTES = 16 << 20;
+
 	private final BodyListener listener;
 
 	private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
@@ -40,6 +46,10 @@
 
 	void handleContent(HttpContent content) {
 		if (content.getContent() != null && content.getContent().hasRemaining()) {
+			if (this.body.size() + content.getContent().remaining() > MAX_REPLY_BYTES) {
+				fail(new IOException("reply is longer than " + MAX_REPLY_BYTES + " bytes"));
+				return;
+			}
 			byte[] data = new byte[content.getContent().remaining()];
 			content.getContent().get(data);
 			this.body.writeBytes(data);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -1,6 +1,5 @@
 package org.mulberrycross.router.relay;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Objects;
 
@@ -28,7 +27,7 @@
 
 	private final long startedNanos = System.nanoTime();
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+	private final ResponseBuffers.ResponseBuffer body;
 
 	private volatile long sentNanos;
 
@@ -47,12 +46,13 @@
 	private boolean released;
 
 	RelayAttempt(RelayExchange exchange, Forwarding forwarding, MessageFormat messageFormat, AttemptListener listener,
-			RequestTokens tokens) {
+			RequestTokens tokens, ResponseBuffers buffers) {
 		this.exchange = Objects.requireNonNull(exchange, "exchange");
 		this.forwarding = Objects.requireNonNull(forwarding, "forwarding");
 		this.messageFormat = messageFormat;
 		this.listener = listener;
 		this.tokens = tokens;
+		this.body = buffers.open();
 	}
 
 	RelayExchange exchange() {
@@ -95,6 +95,7 @@
 	}
 
 	void cancel() {
+		this.body.close();
 		RelayCall startedCall = this.call;
 		if (startedCall != null) {
 			startedCall.cancel();
@@ -110,7 +111,7 @@
 		return this.sentNanos != 0;
 	}
 
-	// Returns when the request was sent or the last part of the body arrived, 0 before.
+	// Returns when the request was sent or the response last made progress, 0 before.
 	long lastActivityNanos() {
 		return Math.max(this.sentNanos, this.lastDataNanos);
 	}
@@ -142,18 +143,30 @@
 		if (this.closed) {
 			return;
 		}
+		if (!this.head.isSuccess() || !this.exchange.isStream()) {
+			recordProgress();
+			if (!this.body.append(part)) {
+				abort("response body is too long");
+			}
+			return;
+		}
+		switch (this.exchange.forwardEvents(this, this.head, part)) {
+			case PROGRESS -> recordProgress();
+			case NO_PROGRESS -> {
+				// Bytes without a new event, such as a comment, do not keep a stalled
+				// stream alive.
+			}
+			case SEQUENCE_GAP -> abort("an event of the stream is missing");
+			case OVERSIZED_EVENT -> abort("an event of the stream is too long");
+		}
+	}
+
+	private void recordProgress() {
 		boolean first = this.lastDataNanos == 0;
 		this.lastDataNanos = System.nanoTime();
 		if (first) {
 			this.listener.onFirstData(this);
 		}
-		if (!this.head.isSuccess() || !this.exchange.isStream()) {
-			this.body.writeBytes(part);
-			return;
-		}
-		if (!this.exchange.forwardEvents(this, this.head, part)) {
-			abort("an event of the stream is missing");
-		}
 	}
 
 	@Override
@@ -162,11 +175,11 @@
 			return;
 		}
 		if (!this.head.isSuccess()) {
-			this.listener.onErrorResponse(this, this.head, this.upstreamHead, this.body.toByteArray());
+			this.listener.onErrorResponse(this, this.head, this.upstreamHead, this.body.take());
 			return;
 		}
 		if (!this.exchange.isStream()) {
-			this.exchange.sendResponse(this, this.head, this.body.toByteArray());
+			this.exchange.sendResponse(this, this.head, this.body.take());
 			this.listener.onCompleted(this);
 			return;
 		}
@@ -181,6 +194,7 @@
 	public void onFailure(String reason) {
 		if (!this.closed) {
 			this.closed = true;
+			this.body.close();
 			this.listener.onAttemptFailed(this, reason);
 		}
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -87,6 +87,8 @@
 
 	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
 
+	private final ResponseBuffers responseBuffers = new ResponseBuffers();
+
 	private final RequestAdmission admission;
 
 	private final UpstreamSelector selector;
@@ -256,7 +258,7 @@
 			return false;
 		}
 		RelayAttempt attempt = new RelayAttempt(exchange, forwarding.get(), this.messageFormat, this,
-				UpstreamSelector.requestTokens(exchange));
+				UpstreamSelector.requestTokens(exchange), this.responseBuffers);
 		exchange.startAttempt(attempt);
 		exchange.addExecutions(1);
 		this.selector.recordSent(attempt);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -168,18 +168,27 @@
 		return this.firstDataNanos;
 	}
 
-	// Forwards the events that are complete with this part. Returns whether the sequence
-	// of event ids is unbroken; true without forwarding if the attempt may not write.
-	synchronized boolean forwardEvents(RelayAttempt attempt, ResponseHead head, byte[] part) {
+	// Forwards the events that are complete with this part, unless the attempt may not
+	// write.
+	synchronized ForwardingResult forwardEvents(RelayAttempt attempt, ResponseHead head, byte[] part) {
 		if (!mayWrite(attempt)) {
-			return true;
+			return ForwardingResult.NO_PROGRESS;
 		}
+		OptionalLong previousId = this.eventStream.lastId();
 		byte[] completeEvents = this.eventStream.extractEvents(part);
 		if (completeEvents.length > 0) {
 			startResponse(new ResponseHead(head.status(), head.headers(), OptionalLong.empty()));
 			this.response.write(completeEvents);
 		}
-		return !this.eventStream.hasSequenceGap();
+		if (this.eventStream.hasSequenceGap()) {
+			return ForwardingResult.SEQUENCE_GAP;
+		}
+		if (this.eventStream.isEventOversized()) {
+			return ForwardingResult.OVERSIZED_EVENT;
+		}
+		boolean newId = !this.eventStream.lastId().equals(previousId);
+		boolean unnumberedEvent = previousId.isEmpty() && completeEvents.length > 0;
+		return (newId || unnumberedEvent) ? ForwardingResult.PROGRESS : ForwardingResult.NO_PROGRESS;
 	}
 
 	// Ends the response if the stream ended with a complete event, and returns whether it
@@ -230,4 +239,21 @@
 		}
 	}
 
+	/** What a part of a stream has brought. */
+	enum ForwardingResult {
+
+		/** At least one new event. */
+		PROGRESS,
+
+		/** No new event, or the attempt may not write. */
+		NO_PROGRESS,
+
+		/** An event is missing. */
+		SEQUENCE_GAP,
+
+		/** An incomplete event exceeds the limit. */
+		OVERSIZED_EVENT
+
+	}
+
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayExchangeTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayExchangeTest.java
@@ -39,7 +39,8 @@
 		Forwarding forwarding = new Forwarding(
 				new UpstreamInstance("e", "s", new Address("127.0.0.1", 1), "dc", false, 1, 1), Duration.ofSeconds(1),
 				Optional.empty(), Optional.empty(), OptionalLong.empty());
-		RelayAttempt attempt = new RelayAttempt(this.exchange, forwarding, null, null, new RequestTokens(1, 1));
+		RelayAttempt attempt = new RelayAttempt(this.exchange, forwarding, null, null, new RequestTokens(1, 1),
+				new ResponseBuffers());
 		this.exchange.startAttempt(attempt);
 		return attempt;
 	}
@@ -49,7 +50,8 @@
 	void dropsEventsAfterLocalResponse() {
 		RelayAttempt attempt = startAttempt();
 		assertThat(this.exchange.endWith(LocalResponse.of(504, "late"))).isTrue();
-		assertThat(this.exchange.forwardEvents(attempt, HEAD, EVENT)).isTrue();
+		assertThat(this.exchange.forwardEvents(attempt, HEAD, EVENT))
+			.isEqualTo(RelayExchange.ForwardingResult.NO_PROGRESS);
 		assertThat(this.exchange.endStream(attempt, HEAD)).isTrue();
 		this.exchange.sendResponse(attempt, HEAD, EVENT);
 		assertThat(this.writer.written()).containsExactly("start 504", "write", "end").inOrder();
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -128,7 +128,7 @@
 		put("narrow", 0, 10, 1);
 		RelayAttempt attempt = new RelayAttempt(this.exchange,
 				this.selector.select(this.exchange, Duration.ofSeconds(5), 0).orElseThrow(), null, null,
-				new RequestTokens(1, 1));
+				new RequestTokens(1, 1), new ResponseBuffers());
 		assertThat(attempt.upstreamIds()).containsExactly("narrow");
 		this.selector.recordSent(attempt);
 		assertThat(selectPath()).containsExactly("first", "second").inOrder();
