Serve a request that follows the last byte of a response at once

Cause: a client has a whole response when its last byte arrives and may send its next request then; the connection was still marked as busy until the thread that wrote the response had ended it, and the request was taken for pipelining: its connection was closed without an answer. Change: one request is kept until the response before it has ended; a second one still closes. Seen to fail before: RelayTest.servesRequestThatFollowsLastByteAtOnce (no response).

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 import org.glassfish.grizzly.Connection;
@@ -34,6 +35,12 @@
 	/** Response in progress, or null if the last request has been answered. */
 	private Response currentResponse;
 
+	/**
+	 * Request that arrived while the last response was not marked as ended. A client may
+	 * send it as soon as it has the last byte of the response.
+	 */
+	private Optional<NextRequest> nextRequest = Optional.empty();
+
 	/** Whether the first bytes of the next request have arrived. */
 	private boolean requestStarted;
 
@@ -67,23 +74,39 @@
 			if (!content.isLast()) {
 				return;
 			}
-			if (this.currentResponse != null) {
-				// Pipelining is not supported: a second request must not arrive before
-				// the response to the first has ended.
-				this.connection.closeSilently();
-				return;
-			}
 			byte[] completeBody = (this.requestBody.size() > 0) ? this.requestBody.toByteArray() : NO_BODY;
 			this.requestBody = new ByteArrayOutputStream(0);
 			this.requestStarted = false;
 			request = new RelayRequest(packet.getMethod().getMethodString(), requestTarget(packet),
 					Headers.copyOf(packet.getHeaders()), completeBody);
 			response = new Response(packet, context.copy());
+			if (this.currentResponse != null) {
+				queueOrClose(new NextRequest(request, response));
+				return;
+			}
 			this.currentResponse = response;
 		}
 		this.handler.handle(request, response);
 	}
 
+	// Keeps one request until the response in progress has ended. More than one is
+	// pipelining, which is not supported.
+	private void queueOrClose(NextRequest queued) {
+		if (this.nextRequest.isPresent()) {
+			this.connection.closeSilently();
+			return;
+		}
+		this.nextRequest = Optional.of(queued);
+	}
+
+	// Returns the queued request, whose response becomes the one in progress.
+	private Optional<NextRequest> takeNextRequest() {
+		Optional<NextRequest> next = this.nextRequest;
+		this.nextRequest = Optional.empty();
+		next.ifPresent((present) -> this.currentResponse = present.response());
+		return next;
+	}
+
 	private static void sendContinueIfExpected(FilterChainContext context, HttpRequestPacket packet) {
 		if (!packet.requiresAcknowledgement()) {
 			return;
@@ -182,6 +205,7 @@
 
 		@Override
 		public void end() {
+			Optional<NextRequest> next;
 			synchronized (RelayServerConnection.this) {
 				if (this.clientDisconnected || this.ended) {
 					return;
@@ -190,13 +214,16 @@
 				RelayServerConnection.this.currentResponse = null;
 				RelayServerConnection.this.timeoutStartNanos = System.nanoTime();
 				send(NO_BODY, true);
+				boolean closing = RelayServerConnection.this.draining.getAsBoolean();
 				// A response that had started before draining began carries no
 				// "Connection: close"; its connection is closed nonetheless.
-				if (RelayServerConnection.this.draining.getAsBoolean()) {
+				if (closing) {
 					this.request.getProcessingState().setKeepAlive(false);
 				}
 				this.context.notifyDownstream(HttpServerFilter.RESPONSE_COMPLETE_EVENT);
+				next = closing ? Optional.empty() : takeNextRequest();
 			}
+			next.ifPresent((queued) -> RelayServerConnection.this.handler.handle(queued.request(), queued.response()));
 		}
 
 		private void send(byte[] part, boolean last) {
@@ -239,4 +266,9 @@
 
 	}
 
+	/** A request that waits for the end of the response before it. */
+	private record NextRequest(RelayRequest request, Response response) {
+
+	}
+
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -86,6 +87,49 @@
 		}
 	}
 
+	/**
+	 * Fails if a client that has the whole response sends its next request before the
+	 * response is marked as ended, and finds its connection closed.
+	 */
+	@Test
+	void servesRequestThatFollowsLastByteAtOnce() throws Exception {
+		int port = freePort();
+		CountDownLatch nextRequestSent = new CountDownLatch(1);
+		try (RelayServer server = new RelayServer(new Address("127.0.0.1", port), (request, response) -> {
+			Thread responder = new Thread(() -> {
+				byte[] body = request.target().getBytes(StandardCharsets.UTF_8);
+				response.setHead(new ResponseHead(200, Headers.NONE, OptionalLong.of(body.length)));
+				response.write(body);
+				if (request.target().equals("/first")) {
+					awaitQuietly(nextRequestSent);
+				}
+				response.end();
+			});
+			responder.start();
+		})) {
+			server.start();
+			try (Socket socket = new Socket("127.0.0.1", port)) {
+				socket.getOutputStream()
+					.write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+				assertThat(readUntil(socket, "/first")).contains("200");
+				socket.getOutputStream()
+					.write("GET /next HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+				TimeUnit.MILLISECONDS.sleep(100);
+				nextRequestSent.countDown();
+				assertThat(readUntil(socket, "/next")).contains("200");
+			}
+		}
+	}
+
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	/** Fails if a client that waits for 100 Continue never receives it. */
 	@Test
 	void sends100ContinueWhenExpected() throws Exception {
