Send no placement order when the machine was suspended past its lease

Cause: the lease counts on the monotonic clock, which stops while a machine is suspended. A holder that was suspended between the check and the order, or before, still saw a valid lease. Engines that check fencing numbers refuse such an order; others would carry it out beside those of the next holder. Change: the age of the last renewal must also be within the lease on the wall clock, checked before each order. Seen to fail before: PlacementRunnerTest.sendsNoOrderAfterSuspensionThatOutlastsLease (2 orders in place of 1).

Also: the stand-in's crash in EngineHandlerTest waits until connections are refused.

--- a/mulberrycross-standins/src/test/java/org/mulberrycross/standins/engine/EngineHandlerTest.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/standins/engine/EngineHandlerTest.java
@@ -1,9 +1,13 @@
 package org.mulberrycross.standins.engine;
 
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -47,7 +51,7 @@
 
 	private final EngineStandin otherEngine = new EngineStandin(LAYERS, 8, "v1", 8, 100);
 
-	private final EngineFaults faults = new EngineFaults(this::closeListener);
+	private final EngineFaults faults = new EngineFaults(this::crash);
 
 	private final HttpListener listener = new HttpListener("127.0.0.1", 0, 4);
 
@@ -81,6 +85,31 @@
 		this.listener.close();
 	}
 
+	// Closes the listener and waits until connections are refused, as those to a process
+	// that has ended are. The kernel accepts connections until the selector of the
+	// listener has let go of its socket, which may be after the listener was closed.
+	private void crash() {
+		int port = this.listener.port();
+		closeListener();
+		while (!refusesConnections(port)) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+		}
+	}
+
+	private static boolean refusesConnections(int port) {
+		try {
+			new Socket("127.0.0.1", port).close();
+			return false;
+		}
+		catch (ConnectException ex) {
+			return true;
+		}
+		catch (IOException ex) {
+			// Accepted and reset: the socket is still open.
+			return false;
+		}
+	}
+
 	/** Fails if the client reports a fault as another outcome than the expected one. */
 	@ParameterizedTest(name = "{0}")
 	@MethodSource("faultCases")
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -135,7 +135,7 @@
 		this.placementRunner = new PlacementRunner(this.placementView::get,
 				new OrderLease(settings.name(), PlacementRunner.LEASE_DURATION),
 				new LeaseActionExecutor(new ObjectLeaseStore(adapter.store()), PlacementRunner.LEASE_NAME),
-				adapter.placementClient(), this.clock, () -> newLeaseToken(secureRandom));
+				adapter.placementClient(), () -> ClockReading.now(this.clock), () -> newLeaseToken(secureRandom));
 	}
 
 	private void reload(RelaySettings changed) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -18,7 +18,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Transition;
 import org.mulberrycross.engine.EngineInstance;
@@ -73,7 +72,7 @@
 
 	private final PlacementClient client;
 
-	private final MonotonicClock clock;
+	private final Supplier<ClockReading> clocks;
 
 	private final Supplier<String> leaseTokens;
 
@@ -93,6 +92,9 @@
 
 	private LeaseState leaseState = LeaseState.initial();
 
+	/** When the calls began that last granted or renewed the lease. */
+	private volatile ClockReading grantRequestedAt = new ClockReading(0, 0);
+
 	/** The monotonic time before which no call is made after a failed one. */
 	private OptionalLong leaseRetryNanos = OptionalLong.empty();
 
@@ -103,12 +105,12 @@
 	private volatile boolean fenced;
 
 	PlacementRunner(Supplier<PlacementView> viewSource, OrderLease lease, LeaseActionExecutor leaseExecutor,
-			PlacementClient client, MonotonicClock clock, Supplier<String> leaseTokens) {
+			PlacementClient client, Supplier<ClockReading> clocks, Supplier<String> leaseTokens) {
 		this.viewSource = Objects.requireNonNull(viewSource, "viewSource");
 		this.lease = Objects.requireNonNull(lease, "lease");
 		this.leaseExecutor = Objects.requireNonNull(leaseExecutor, "leaseExecutor");
 		this.client = Objects.requireNonNull(client, "client");
-		this.clock = Objects.requireNonNull(clock, "clock");
+		this.clocks = Objects.requireNonNull(clocks, "clocks");
 		this.leaseTokens = Objects.requireNonNull(leaseTokens, "leaseTokens");
 		this.thread.setDaemon(true);
 	}
@@ -131,7 +133,7 @@
 	// Plans once, and sends the orders if this daemon holds the lease.
 	void planAndOrder() throws InterruptedException {
 		PlacementView view = this.viewSource.get();
-		long nowNanos = this.clock.nanos();
+		long nowNanos = this.clocks.get().monotonicNanos();
 		List<Placement> placements = view.profiles()
 			.entrySet()
 			.stream()
@@ -148,8 +150,7 @@
 		if (view.storeAvailable() && nowNanos - this.leaseRetryNanos.orElse(nowNanos) >= 0) {
 			advanceLease();
 		}
-		Optional<LeaseGrant> grant = this.leaseState.grant()
-			.filter((held) -> held.isValidFor(ORDER_TIMEOUT, this.clock.nanos()));
+		Optional<LeaseGrant> grant = this.leaseState.grant().filter(this::isValidForOrder);
 		if (grant.isPresent()) {
 			sendOrders(placements, grant.get());
 		}
@@ -171,21 +172,39 @@
 		return new LayerPlanner(profile).plan(enginesWithOrders, view::slowdown);
 	}
 
+	// Returns whether the lease outlasts an order that is sent now. The lease counts on
+	// the
+	// monotonic clock, which stops while the machine is suspended, so its age must also
+	// be
+	// within its duration on the wall clock.
+	private boolean isValidForOrder(LeaseGrant grant) {
+		ClockReading now = this.clocks.get();
+		return grant.isValidFor(ORDER_TIMEOUT, now.monotonicNanos())
+				&& this.grantRequestedAt.ageMillis(now) <= LEASE_DURATION.minus(ORDER_TIMEOUT).toMillis();
+	}
+
 	private void advanceLease() {
 		this.leaseRetryNanos = OptionalLong.empty();
+		ClockReading requestedAt = this.clocks.get();
+		Optional<LeaseGrant> previousGrant = this.leaseState.grant();
 		Optional<LeaseAction> action = applyLeaseEvent(new LeaseEvent.Tick(this.leaseTokens.get()));
 		while (action.isPresent()) {
 			LeaseEvent result = this.leaseExecutor.execute(action.get());
 			if (result instanceof LeaseEvent.CallFailed || result instanceof LeaseEvent.WriteOutcomeUnknown) {
-				this.leaseRetryNanos = OptionalLong.of(this.clock.nanos() + LEASE_RETRY_DELAY.toNanos());
+				this.leaseRetryNanos = OptionalLong
+					.of(this.clocks.get().monotonicNanos() + LEASE_RETRY_DELAY.toNanos());
 			}
 			action = applyLeaseEvent(result);
 		}
+		if (!this.leaseState.grant().equals(previousGrant)) {
+			this.grantRequestedAt = requestedAt;
+		}
 	}
 
 	private Optional<LeaseAction> applyLeaseEvent(LeaseEvent event) {
 		boolean wasHeld = this.leaseState.grant().isPresent();
-		Transition<LeaseState, LeaseAction> transition = this.lease.next(this.leaseState, event, this.clock.nanos());
+		Transition<LeaseState, LeaseAction> transition = this.lease.next(this.leaseState, event,
+				this.clocks.get().monotonicNanos());
 		this.leaseState = transition.state();
 		if (wasHeld != this.leaseState.grant().isPresent()) {
 			logger.atInfo()
@@ -218,7 +237,7 @@
 		String outcome;
 		try {
 			acceptedOrders = this.client.acceptedOrderCount(placement.engine(), ORDER_TIMEOUT);
-			if (!grant.isValidFor(ORDER_TIMEOUT, this.clock.nanos())) {
+			if (!isValidForOrder(grant)) {
 				return;
 			}
 			// An engine accepts no order while it executes another one, so the order is
@@ -233,7 +252,7 @@
 		catch (PeerException ex) {
 			outcome = "no reply: " + ex;
 		}
-		this.pendingOrders.add(placement, reply, this.clock.nanos());
+		this.pendingOrders.add(placement, reply, this.clocks.get().monotonicNanos());
 		logger.atInfo()
 			.addKeyValue("upstream", placement.engine().id())
 			.addKeyValue("layers", placement.layers())
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/PlacementRunnerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/PlacementRunnerTest.java
@@ -44,10 +44,21 @@
 
 	private boolean storeAvailable = true;
 
-	private final PlacementRunner runner = new PlacementRunner(this::view,
-			new OrderLease("router-1", PlacementRunner.LEASE_DURATION),
-			new LeaseActionExecutor(new RejectingLeaseStore(), PlacementRunner.LEASE_NAME), new NoPlacementClient(),
-			() -> this.nowNanos, () -> "token");
+	private long suspendedMillis;
+
+	private int orders;
+
+	private final PlacementRunner runner = runnerWith(new RejectingLeaseStore(), new NoPlacementClient());
+
+	private PlacementRunner runnerWith(LeaseStore store, PlacementClient client) {
+		return new PlacementRunner(this::view, new OrderLease("router-1", PlacementRunner.LEASE_DURATION),
+				new LeaseActionExecutor(store, PlacementRunner.LEASE_NAME), client, this::readClocks, () -> "token");
+	}
+
+	// Returns clocks of which the monotonic one stops while the machine is suspended.
+	private ClockReading readClocks() {
+		return new ClockReading(this.nowNanos, Duration.ofNanos(this.nowNanos).toMillis() + this.suspendedMillis);
+	}
 
 	// Returns a view in which half of the layers have no holder.
 	private PlacementView view() {
@@ -84,6 +95,57 @@
 		assertThat(this.leaseCalls).isAtMost(11);
 	}
 
+	/**
+	 * Pattern: a machine is suspended between the check of the lease and the order. Fails
+	 * if the order is sent although another daemon may hold the lease by then.
+	 */
+	@Test
+	void sendsNoOrderAfterSuspensionThatOutlastsLease() throws Exception {
+		runnerWith(new GrantingLeaseStore(), new CountingPlacementClient(0)).planAndOrder();
+		assertThat(this.orders).isEqualTo(1);
+		runnerWith(new GrantingLeaseStore(), new CountingPlacementClient(PlacementRunner.LEASE_DURATION.toMillis() + 1))
+			.planAndOrder();
+		assertThat(this.orders).isEqualTo(1);
+	}
+
+	/** Grants each lease. */
+	private static final class GrantingLeaseStore implements LeaseStore {
+
+		@Override
+		public Optional<StoredLease> read(String name) {
+			return Optional.empty();
+		}
+
+		@Override
+		public OptionalLong write(String name, OrderLeaseRecord lease, long expectedVersion) {
+			return OptionalLong.of(expectedVersion + 1);
+		}
+
+	}
+
+	/** Suspends the machine while an order is prepared, and counts the orders sent. */
+	private final class CountingPlacementClient implements PlacementClient {
+
+		private final long suspensionMillis;
+
+		private CountingPlacementClient(long suspensionMillis) {
+			this.suspensionMillis = suspensionMillis;
+		}
+
+		@Override
+		public OptionalLong acceptedOrderCount(EngineInstance engine, Duration timeout) {
+			PlacementRunnerTest.this.suspendedMillis += this.suspensionMillis;
+			return OptionalLong.of(0);
+		}
+
+		@Override
+		public PlacementReply sendOrder(Placement placement, long expectedOrders, long fencing, Duration timeout) {
+			PlacementRunnerTest.this.orders++;
+			return PlacementReply.ACCEPTED;
+		}
+
+	}
+
 	/** Counts and rejects all calls. */
 	private final class RejectingLeaseStore implements LeaseStore {
 
