--- a/mulberrycross/src/test/java/org/mulberrycross/ArchitectureTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/ArchitectureTest.java
@@ -1,5 +1,12 @@
 package org.mulberrycross;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
@@ -10,6 +17,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import static com.google.common.truth.Truth.assertThat;
+
 /**
  * Guards the package structure: one package for each peer, whose decisions are separate
  * from the encoding of messages.
@@ -18,6 +27,9 @@
 
 	private static final String ROOT = "org.mulberrycross.";
 
+	private static final Pattern NAME_COMPARISON = Pattern.compile(
+			"(?i)(service|team|model|dataCentre)(Name)?(\\(\\))?\\s*\\.(equals|startsWith|contains|endsWith|matches)\\(\\s*\"");
+
 	private static final JavaClasses CLASSES = new ClassFileImporter()
 		.withImportOption(new ImportOption.DoNotIncludeTests())
 		.importPackages("org.mulberrycross");
@@ -76,4 +88,23 @@
 		ArchRuleDefinition.noMethods().should().haveNameMatching("get[A-Z].*").check(CLASSES);
 	}
 
+	/**
+	 * Fails if a decision in any module compares the name of a service, team, model or
+	 * data centre with a constant, and so works only for certain deployments.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "../mulberrycross", "../mulberrycross-daemon", "../platform" })
+	void noDecisionDependsOnConstantName(String module) throws IOException {
+		List<String> comparisons = new ArrayList<>();
+		try (Stream<Path> files = Files.walk(Path.of(module, "src", "main", "java"))) {
+			for (Path file : files.filter(Files::isRegularFile).toList()) {
+				Matcher matcher = NAME_COMPARISON.matcher(Files.readString(file));
+				while (matcher.find()) {
+					comparisons.add(file + ": " + matcher.group());
+				}
+			}
+		}
+		assertThat(comparisons).isEmpty();
+	}
+
 }
