--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EngineProber.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EngineProber.java
@@ -66,11 +66,6 @@
 		});
 	}
 
-	// Forgets an engine that is no longer listed.
-	void forget(String id) {
-		this.lastProbeNanos.remove(id);
-	}
-
 	@Override
 	public void close() {
 		this.executor.shutdownNow();
--- a/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mulberrycross.Address;
 
@@ -273,6 +275,27 @@
 		}
 	}
 
+	/**
+	 * Fails if bytes without end, in a part of a response whose size should be small, are
+	 * received for longer than until a limit.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nX-A: ",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: " })
+	void failsResponseWithEndlessHead(String start) throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				RelayClient client = new RelayClient()) {
+			CompletableFuture<Long> sent = CompletableFuture
+				.supplyAsync(() -> EndlessResponse.sendUntilClosed(server, start));
+			client.send(new Address("127.0.0.1", server.getLocalPort()),
+					new RelayRequest("GET", "/", Headers.of(List.of(new HeaderField("Host", "h"))), new byte[0]),
+					new Recorder());
+			assertThat(this.events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
+			assertThat(sent.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isLessThan(EndlessResponse.MAX_BYTES);
+		}
+	}
+
 	/** Reads until the text ends with a suffix or the connection is closed or reset. */
 	private static String readUntil(Socket socket, String suffix) throws IOException {
 		ByteArrayOutputStream received = new ByteArrayOutputStream();
