Let only instances of the same service replace an entry at its address

Entries in the store may come from other writers; one of an unknown service with a late start would have dropped the upstream whose address it names, since the commit 'Let a later instance replace the listed one at its address'. Addresses are now looked up within a service. The new row of UpstreamDirectoryTest was written with the fix and not run on the code before it.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
@@ -1,7 +1,6 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -146,18 +145,18 @@
 		recordSpeed(firstEngine, report);
 		Set<Address> stalled = report.map(EngineReport::stalledEngines)
 			.orElse(Set.of(firstEngine.upstream().address()));
-		this.controlThread.post(() -> stalled.forEach(this::ejectStalledEngine));
+		String service = firstEngine.upstream().service();
+		this.controlThread.post(() -> stalled.forEach((address) -> ejectStalledEngine(service, address)));
 	}
 
 	// Ejects a stalled engine and retries the requests whose paths contain it.
-	private void ejectStalledEngine(Address address) {
-		Optional<String> id = this.directory.findByAddress(address).map((entry) -> entry.instance().id());
+	private void ejectStalledEngine(String service, Address address) {
+		Optional<String> id = this.directory.findByAddress(service, address).map((entry) -> entry.instance().id());
 		if (id.isEmpty()) {
 			return;
 		}
 		this.health.recordStall(id.get(), System.nanoTime());
-		List<RelayExchange> affected = this.inFlight.snapshot();
-		for (RelayExchange exchange : affected) {
+		for (RelayExchange exchange : this.inFlight.snapshot()) {
 			RelayAttempt attempt = exchange.currentAttempt();
 			if (attempt != null && !exchange.isFinished() && attempt.upstreamIds().contains(id.get())
 					&& this.mayRetry.test(exchange)) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -124,8 +124,8 @@
 		this.settingsReloader = new SettingsReloader(source, settings, this::reload);
 		this.configurationWatcher = new KindWatcher(adapter.store(), adapter.configurationKind(),
 				new ConfigurationListener(adapter.configurationKind(), adapter.configurationDecoder()),
-				() -> WatchTiming.ofConfiguration(this.propagationLimits, this.daemonCount), () -> {
-				}, this.clock, new SplittableRandom(secureRandom.nextLong()));
+				() -> WatchTiming.ofConfiguration(this.propagationLimits, this.daemonCount),
+				KindWatcher.NO_RECOVERY_WAIT, this.clock, new SplittableRandom(secureRandom.nextLong()));
 		this.upstreamWatcher = new KindWatcher(adapter.store(), adapter.upstreamKind(),
 				new UpstreamListener(adapter.upstreamKind(), adapter.upstreamDecoder()),
 				() -> WatchTiming.ofUpstreams(this.propagationLimits, this.daemonCount),
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -35,6 +35,10 @@
 	 */
 	private static final Duration UNAVAILABLE_WATCH_TIMEOUT = Duration.ofMillis(100);
 
+	/** For the watcher that probes for the recovery of the store itself. */
+	static final Runnable NO_RECOVERY_WAIT = () -> {
+	};
+
 	private static final int MIN_RETRY_DELAY_MILLIS = 250;
 
 	/**
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -172,11 +172,8 @@
 		return new LayerPlanner(profile).plan(enginesWithOrders, view::slowdown);
 	}
 
-	// Returns whether the lease outlasts an order that is sent now. The lease counts on
-	// the
-	// monotonic clock, which stops while the machine is suspended, so its age must also
-	// be
-	// within its duration on the wall clock.
+	// Returns whether the lease outlasts an order that is sent now. Its monotonic clock
+	// stops while the machine is suspended, so the age on the wall clock counts as well.
 	private boolean isValidForOrder(LeaseGrant grant) {
 		ClockReading now = this.clocks.get();
 		return grant.isValidFor(ORDER_TIMEOUT, now.monotonicNanos())
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -343,7 +343,8 @@
 			.path()
 			.flatMap((path) -> path.engineAt(address))
 			.map(EngineInstance::id)
-			.or(() -> this.directory.findByAddress(address).map((entry) -> entry.instance().id()));
+			.or(() -> this.directory.findByAddress(attempt.forwarding().upstream().service(), address)
+				.map((entry) -> entry.instance().id()));
 	}
 
 	@Override
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -30,8 +30,8 @@
 
 	private final Map<String, DirectoryEntry> entries = new HashMap<>();
 
-	/** The id of the entry that started last at each address. */
-	private final Map<Address, String> idsByAddress = new HashMap<>();
+	/** The id of the entry that started last at each address of a service. */
+	private final Map<ServiceAddress, String> idsByAddress = new HashMap<>();
 
 	/**
 	 * Ids of entries whose removal was postponed because of an outage, with the monotonic
@@ -73,18 +73,19 @@
 		});
 	}
 
-	// Adds or updates an entry. An address belongs to the instance that started last: the
-	// entry of an instance that crashed stays listed until it expires, and may still be
-	// updated, after the next one has started there.
+	// Adds or updates an entry. An address of a service belongs to the instance that
+	// started last: the entry of an instance that crashed stays listed until it expires,
+	// and may still be updated, after the next one has started there. Entries of other
+	// services at the address have no effect, since other writers may have made them.
 	void put(DirectoryEntry entry) {
 		String id = entry.instance().id();
-		Optional<DirectoryEntry> other = findByAddress(entry.instance().address())
+		Optional<DirectoryEntry> other = findByAddress(entry.instance().service(), entry.instance().address())
 			.filter((found) -> !found.instance().id().equals(id));
 		if (other.isPresent() && startedLater(other.get(), entry)) {
 			return;
 		}
 		other.filter((found) -> startedLater(entry, found)).ifPresent((former) -> drop(former, "started again"));
-		this.idsByAddress.put(entry.instance().address(), id);
+		this.idsByAddress.put(ServiceAddress.of(entry), id);
 		this.removalDeadlines.remove(id);
 		DirectoryEntry previous = this.entries.put(id, entry);
 		if (previous == null || !previous.equals(entry)) {
@@ -107,7 +108,7 @@
 		String id = entry.instance().id();
 		this.entries.remove(id);
 		this.removalDeadlines.remove(id);
-		this.idsByAddress.remove(entry.instance().address(), id);
+		this.idsByAddress.remove(ServiceAddress.of(entry), id);
 		logger.atInfo().addKeyValue("upstream", id).addKeyValue("reason", reason).log("upstream removed");
 	}
 
@@ -157,8 +158,17 @@
 		return Optional.ofNullable(this.entries.get(id));
 	}
 
-	Optional<DirectoryEntry> findByAddress(Address address) {
-		return Optional.ofNullable(this.idsByAddress.get(address)).map(this.entries::get);
+	Optional<DirectoryEntry> findByAddress(String service, Address address) {
+		return Optional.ofNullable(this.idsByAddress.get(new ServiceAddress(service, address))).map(this.entries::get);
+	}
+
+	/** An address at which a service has an instance. */
+	private record ServiceAddress(String service, Address address) {
+
+		static ServiceAddress of(DirectoryEntry entry) {
+			return new ServiceAddress(entry.instance().service(), entry.instance().address());
+		}
+
 	}
 
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -86,8 +86,7 @@
 		WatchTiming shortAge = new WatchTiming(Duration.ofMillis(4000), Duration.ofMillis(300), Duration.ofMillis(1));
 		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(7, false, "a")));
 		try (KindWatcher watcher = new KindWatcher(new FakeStore(results), "servers", new RecordingListener(),
-				() -> shortAge, () -> {
-				}, MonotonicClock.system(), new SplittableRandom(1))) {
+				() -> shortAge, KindWatcher.NO_RECOVERY_WAIT, MonotonicClock.system(), new SplittableRandom(1))) {
 			watcher.start();
 			assertThat(poll(this.calls)).isEqualTo("cached list");
 			assertThat(poll(this.calls)).isEqualTo("watch 5 for 300");
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
@@ -54,13 +54,28 @@
 		this.directory.put(startedAt("neighbour", 81, 1000));
 		this.directory.put(startedAt("later", 80, 5000));
 		assertThat(eligibleIds()).containsExactly("later", "neighbour");
-		assertThat(this.directory.findByAddress(new Address("10.0.0.1", 80)).map((entry) -> entry.instance().id()))
+		assertThat(this.directory.findByAddress("s", new Address("10.0.0.1", 80)).map((entry) -> entry.instance().id()))
 			.isEqualTo(Optional.of("later"));
 		// The store may still publish an update of the former entry.
 		this.directory.put(startedAt("former", 80, 1000));
 		assertThat(eligibleIds()).containsExactly("later", "neighbour");
 		this.directory.remove("former", NANOS_PER_SECOND);
-		assertThat(this.directory.findByAddress(new Address("10.0.0.1", 80))).isPresent();
+		assertThat(this.directory.findByAddress("s", new Address("10.0.0.1", 80))).isPresent();
+	}
+
+	/**
+	 * Fails if an entry that another writer has made, of a service that nobody uses,
+	 * takes the place of an upstream at its address.
+	 */
+	@Test
+	void entryOfOtherServiceDoesNotReplaceUpstream() {
+		this.directory.put(startedAt("upstream", 80, 1000));
+		this.directory.put(new DirectoryEntry(
+				new UpstreamInstance("forged", "unknown", new Address("10.0.0.1", 80), "dc", false, 1, Long.MAX_VALUE),
+				Optional.empty()));
+		assertThat(eligibleIds()).containsExactly("upstream");
+		assertThat(this.directory.findByAddress("s", new Address("10.0.0.1", 80)).map((entry) -> entry.instance().id()))
+			.isEqualTo(Optional.of("upstream"));
 	}
 
 	/** Fails if an upstream that is removed without an outage is kept. */
