--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -319,7 +319,9 @@
 
 		@Override
 		public boolean needsCurrentList() {
-			return false;
+			// An old list shows engines without layers that they have loaded meanwhile,
+			// and a placement planned from it would make them give up layers in use.
+			return true;
 		}
 
 		@Override
