Send no response from an attempt that was cancelled as it ended

Cause: found by rereading. Since bodies are limited, cancelling an attempt empties its buffer; if its response ended on the selector thread at that moment, the empty body was sent as a complete response. Change: a buffer that was closed has no body to take. Seen to fail before: RelayAttemptTest.cancelledAttemptSendsNoResponse.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -174,15 +174,15 @@
 		if (this.closed) {
 			return;
 		}
-		if (!this.head.isSuccess()) {
-			this.listener.onErrorResponse(this, this.head, this.upstreamHead, this.body.take());
-			return;
-		}
-		if (!this.exchange.isStream()) {
-			this.exchange.sendResponse(this, this.head, this.body.take());
-			this.listener.onCompleted(this);
+		if (this.head.isSuccess() && this.exchange.isStream()) {
+			completeStream();
 			return;
 		}
+		// The body is empty if another thread has cancelled this attempt meanwhile.
+		this.body.take().ifPresent(this::completeWithBody);
+	}
+
+	private void completeStream() {
 		if (this.exchange.endStream(this, this.head)) {
 			this.listener.onCompleted(this);
 			return;
@@ -190,6 +190,15 @@
 		abort("stream ends inside an event");
 	}
 
+	private void completeWithBody(byte[] completeBody) {
+		if (!this.head.isSuccess()) {
+			this.listener.onErrorResponse(this, this.head, this.upstreamHead, completeBody);
+			return;
+		}
+		this.exchange.sendResponse(this, this.head, completeBody);
+		this.listener.onCompleted(this);
+	}
+
 	@Override
 	public void onFailure(String reason) {
 		if (!this.closed) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ResponseBuffers.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ResponseBuffers.java
@@ -1,6 +1,7 @@
 package org.mulberrycross.router.relay;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -47,11 +48,15 @@
 			return true;
 		}
 
-		// Returns the body and closes the buffer.
-		synchronized byte[] take() {
+		// Returns the body and closes the buffer. Empty if the buffer was closed before,
+		// since the body is then lost and must not be sent.
+		synchronized Optional<byte[]> take() {
+			if (this.closed) {
+				return Optional.empty();
+			}
 			byte[] bytes = this.body.toByteArray();
 			close();
-			return bytes;
+			return Optional.of(bytes);
 		}
 
 		@Override
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
@@ -38,10 +38,12 @@
 
 	private final List<String> failures = new ArrayList<>();
 
+	private final RecordingWriter writer = new RecordingWriter();
+
 	private RelayAttempt startAttempt(RouteKind kind) {
 		RelayExchange exchange = new RelayExchange(new RelayRequest("GET", "/", Headers.of(List.of()), new byte[0]),
 				new ClientCall("id", "host", "/", Optional.empty(), Optional.empty(), 1, 1, OptionalLong.empty()),
-				new RecordingWriter(), ClockReading.now(MonotonicClock.system()));
+				this.writer, ClockReading.now(MonotonicClock.system()));
 		exchange.admit(new RouteRule("route", "host", "/", kind, Duration.ofSeconds(9), Duration.ofSeconds(1), 3, 0,
 				false, true, List.of(new WeightedService("s", 1))), Optional.empty());
 		Forwarding forwarding = new Forwarding(
@@ -83,6 +85,20 @@
 		assertThat(this.failures).isEmpty();
 	}
 
+	/**
+	 * Fails if an attempt that is cancelled while its response ends sends the emptied
+	 * body as a complete response.
+	 */
+	@Test
+	void cancelledAttemptSendsNoResponse() {
+		RelayAttempt attempt = startAttempt(RouteKind.IDEMPOTENT);
+		attempt.onData(new byte[PART_BYTES]);
+		attempt.cancel();
+		attempt.onComplete();
+		assertThat(this.writer.written()).isEmpty();
+		assertThat(this.failures).isEmpty();
+	}
+
 	/** Fails if an event without end is received until the memory is full. */
 	@Test
 	void failsStreamWhoseEventDoesNotEnd() {
