--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectStore.java
@@ -33,20 +33,6 @@
 	 */
 	ObjectPage list(Set<String> kinds, String after, int limit) throws PeerException;
 
-	/**
-	 * Lists objects, ordered by key, from a copy that may be some seconds old. Costs less
-	 * than {@link #list} where the platform keeps such copies. The revision of the page
-	 * is that of the copy, so that a watch from it returns everything that is missing.
-	 * @param kinds the kinds to list, not empty
-	 * @param after the key after which the page starts, empty for the first page
-	 * @param limit the maximum number of objects to return, at least 1
-	 * @return the page
-	 * @throws PeerException if the call fails
-	 */
-	default ObjectPage listCached(Set<String> kinds, String after, int limit) throws PeerException {
-		return list(kinds, after, limit);
-	}
-
 	/**
 	 * Creates an object if none has its key.
 	 * @param key the key, {@code kind/name}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -280,11 +280,6 @@
 			this.decoder = decoder;
 		}
 
-		@Override
-		public boolean needsCurrentList() {
-			return true;
-		}
-
 		@Override
 		public void onListed(List<StoredObject> objects, ClockReading asOf) {
 			applyVersions(objects, asOf);
@@ -317,13 +312,6 @@
 			this.decoder = decoder;
 		}
 
-		@Override
-		public boolean needsCurrentList() {
-			// An old list shows engines without layers that they have loaded meanwhile,
-			// and a placement planned from it would make them give up layers in use.
-			return true;
-		}
-
 		@Override
 		public void onListed(List<StoredObject> objects, ClockReading asOf) {
 			List<DirectoryEntry> entries = objects.stream()
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindListener.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindListener.java
@@ -11,18 +11,10 @@
  */
 interface KindListener {
 
-	/**
-	 * Returns whether the first list must be current. Otherwise it may be some seconds
-	 * old, and the first changes bring it up to date.
-	 * @return true if the list must be current
-	 */
-	boolean needsCurrentList();
-
 	/**
 	 * Called when all objects were listed.
 	 * @param objects the objects, which replace all earlier ones
-	 * @param asOf the time up to which the list is known to be current, or only the time
-	 * of the call for the first list if it need not be current
+	 * @param asOf the time up to which the list is known to be current
 	 */
 	void onListed(List<StoredObject> objects, ClockReading asOf);
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -83,8 +83,6 @@
 
 	private boolean storeAvailable = true;
 
-	private boolean everListed;
-
 	private ClockReading confirmedAsOf;
 
 	KindWatcher(ObjectStore store, String kind, KindListener listener, Supplier<WatchTiming> timing,
@@ -125,31 +123,25 @@
 
 	private long list() throws PeerException {
 		ClockReading sentAt = ClockReading.now(this.clock);
+		ObjectPage all = listAll(this.store, this.kind);
+		recordSuccess();
+		this.confirmedAsOf = sentAt;
+		this.listener.onListed(all.objects(), sentAt);
+		return all.revision();
+	}
+
+	// Lists the objects of all pages. Watching from the revision, which is that of the
+	// first page, also returns changes that are made while further pages are read.
+	static ObjectPage listAll(ObjectStore store, String kind) throws PeerException {
 		List<StoredObject> objects = new ArrayList<>();
-		ObjectPage page = readPage("");
-		// Watching from the oldest page's revision also returns changes that are made
-		// while further pages are read.
+		ObjectPage page = store.list(Set.of(kind), "", PAGE_SIZE);
 		long revision = page.revision();
 		objects.addAll(page.objects());
 		while (page.more() && !page.objects().isEmpty()) {
-			page = readPage(page.objects().get(page.objects().size() - 1).name());
-			revision = Math.min(revision, page.revision());
+			page = store.list(Set.of(kind), page.objects().get(page.objects().size() - 1).name(), PAGE_SIZE);
 			objects.addAll(page.objects());
 		}
-		recordSuccess();
-		this.everListed = true;
-		this.confirmedAsOf = sentAt;
-		this.listener.onListed(objects, sentAt);
-		return revision;
-	}
-
-	// Reads the first list from a cached copy if the listener does not need its age: the
-	// watch that follows returns what the copy lacks. A list after a compaction must be
-	// current, since the history that the copy lacks may be gone.
-	private ObjectPage readPage(String after) throws PeerException {
-		return (this.everListed || this.listener.needsCurrentList())
-				? this.store.list(Set.of(this.kind), after, PAGE_SIZE)
-				: this.store.listCached(Set.of(this.kind), after, PAGE_SIZE);
+		return new ObjectPage(revision, objects, false);
 	}
 
 	private WatchResult watch(long revision) throws PeerException {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Objects;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
@@ -12,7 +11,6 @@
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.PeerException;
-import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
 
 /**
@@ -36,8 +34,6 @@
 	/** Period of counting; the number of daemons changes within minutes. */
 	private static final Duration COUNT_PERIOD = Duration.ofSeconds(30);
 
-	private static final int MAX_DAEMONS = 1000;
-
 	private final ObjectStore store;
 
 	private final String name;
@@ -93,23 +89,13 @@
 
 	private void countDaemons() {
 		try {
-			this.countListener.accept(countEntries());
+			this.countListener.accept(KindWatcher.listAll(this.store, KIND).objects().size());
 		}
 		catch (PeerException ex) {
 			logger.atInfo().addKeyValue("cause", ex.toString()).log("daemons could not be counted");
 		}
 	}
 
-	private int countEntries() throws PeerException {
-		ObjectPage page = this.store.list(Set.of(KIND), "", MAX_DAEMONS);
-		int count = page.objects().size();
-		while (page.more() && !page.objects().isEmpty()) {
-			page = this.store.list(Set.of(KIND), page.objects().get(page.objects().size() - 1).name(), MAX_DAEMONS);
-			count += page.objects().size();
-		}
-		return count;
-	}
-
 	@Override
 	public void close() {
 		this.closed.countDown();
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -66,7 +66,7 @@
 				List.of(result(0, false), result(7, false, "a")));
 		try (KindWatcher watcher = newWatcher(results)) {
 			watcher.start();
-			assertThat(poll(this.calls)).isEqualTo("cached list");
+			assertThat(poll(this.calls)).isEqualTo("list");
 			assertThat(poll(this.calls)).isEqualTo("watch 5 for 4000");
 			assertThat(poll(this.calls)).isEqualTo("wait for recovery");
 			assertThat(poll(this.calls)).isEqualTo("watch 5 for 100");
@@ -88,7 +88,7 @@
 		try (KindWatcher watcher = new KindWatcher(new FakeStore(results), "servers", new RecordingListener(),
 				() -> shortAge, KindWatcher.NO_RECOVERY_WAIT, MonotonicClock.system(), new SplittableRandom(1))) {
 			watcher.start();
-			assertThat(poll(this.calls)).isEqualTo("cached list");
+			assertThat(poll(this.calls)).isEqualTo("list");
 			assertThat(poll(this.calls)).isEqualTo("watch 5 for 300");
 			assertThat(poll(this.calls)).isEqualTo("watch 7 for 300");
 		}
@@ -100,7 +100,7 @@
 		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(5, true), result(8, false, "a")));
 		try (KindWatcher watcher = newWatcher(results)) {
 			watcher.start();
-			assertThat(poll(this.calls)).isEqualTo("cached list");
+			assertThat(poll(this.calls)).isEqualTo("list");
 			assertThat(poll(this.calls)).isEqualTo("watch 5 for 4000");
 			assertThat(poll(this.calls)).isEqualTo("list");
 			assertThat(poll(this.calls)).startsWith("watch 5");
@@ -124,12 +124,6 @@
 			return new ObjectPage(5, List.of(), false);
 		}
 
-		@Override
-		public ObjectPage listCached(Set<String> kinds, String after, int limit) {
-			KindWatcherTest.this.calls.add("cached list");
-			return new ObjectPage(5, List.of(), false);
-		}
-
 		@Override
 		public WatchResult watch(Set<String> kinds, long afterRevision, Duration timeout) throws PeerException {
 			KindWatcherTest.this.calls.add("watch " + afterRevision + " for " + timeout.toMillis());
@@ -170,11 +164,6 @@
 	/** Records the notifications of the watcher. */
 	private final class RecordingListener implements KindListener {
 
-		@Override
-		public boolean needsCurrentList() {
-			return false;
-		}
-
 		@Override
 		public void onListed(List<StoredObject> objects, ClockReading asOf) {
 			KindWatcherTest.this.notifications.add("listed");
