Log the parts of prompts and whether a failed attempt had begun

The logs could not tell whether the engines were lost to a request, to the load of retries or by themselves.

Added: the shared parts of a prompt in "request sent to upstream", and "attempt failed" with the request, the upstream, the reason and whether the answer had begun. No decision changes.

--- a/mulberrycross/src/main/java/org/mulberrycross/caller/ClientCall.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/ClientCall.java
@@ -1,6 +1,7 @@
 package org.mulberrycross.caller;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -18,9 +19,11 @@
  * @param maxOutputTokens the maximum number of tokens to generate, 0 if unknown
  * @param lastEventId the identifier of the last event that the client received, empty
  * unless it resumes a stream, not null
+ * @param sharedPromptParts the ids of the parts of the prompt that other requests may
+ * share, in order and without duplicates, not null
  */
 public record ClientCall(String id, String host, String path, Optional<String> key, Optional<Duration> timeout,
-		int promptTokens, int maxOutputTokens, OptionalLong lastEventId) {
+		int promptTokens, int maxOutputTokens, OptionalLong lastEventId, List<String> sharedPromptParts) {
 
 	/**
 	 * Creates a call.
@@ -32,6 +35,8 @@
 	 * @param promptTokens the number of tokens in the prompt
 	 * @param maxOutputTokens the maximum number of tokens to generate
 	 * @param lastEventId the identifier of the last received event, or empty, not null
+	 * @param sharedPromptParts the ids of the parts of the prompt that other requests may
+	 * share, not null
 	 */
 	public ClientCall {
 		Objects.requireNonNull(id, "id");
@@ -40,6 +45,7 @@
 		Objects.requireNonNull(key, "key");
 		Objects.requireNonNull(timeout, "timeout");
 		Objects.requireNonNull(lastEventId, "lastEventId");
+		sharedPromptParts = sharedPromptParts.stream().distinct().toList();
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -365,6 +365,7 @@
 	private void handleFailedAttempt(RelayAttempt attempt, Set<String> faultyIds, String reason,
 			boolean mayHaveExecuted) {
 		RelayExchange exchange = attempt.exchange();
+		this.requestLog.logAttemptFailed(attempt, reason);
 		attempt.cancel();
 		this.selector.releaseLoad(attempt);
 		exchange.failedUpstreams().addAll(faultyIds);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -40,9 +40,23 @@
 			.addKeyValue("try", exchange.attempts())
 			.addKeyValue("upstream", attempt.upstreamIds())
 			.addKeyValue("age_ms", exchange.age(this.clock.nanos()).toMillis())
+			.addKeyValue("parts", exchange.call().sharedPromptParts())
 			.log("request sent to upstream");
 	}
 
+	// Logs an attempt that ended without a complete response. Requests that had not begun
+	// when their engine was lost are those that may have caused the loss.
+	void logAttemptFailed(RelayAttempt attempt, String reason) {
+		RelayExchange exchange = attempt.exchange();
+		nextLine().addKeyValue("request", exchange.call().id())
+			.addKeyValue("reason", reason)
+			.addKeyValue("upstream", attempt.forwarding().upstream().id())
+			.addKeyValue("sent", attempt.wasSent())
+			.addKeyValue("begun", attempt.hasReceivedData())
+			.addKeyValue("parts", exchange.call().sharedPromptParts())
+			.log("attempt failed");
+	}
+
 	void logRetry(RelayExchange exchange, String reason) {
 		nextLine().addKeyValue("request", exchange.call().id())
 			.addKeyValue("reason", reason)
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
@@ -41,8 +41,9 @@
 	private final RecordingWriter writer = new RecordingWriter();
 
 	private RelayAttempt startAttempt(RouteKind kind) {
-		RelayExchange exchange = new RelayExchange(new RelayRequest("GET", "/", Headers.of(List.of()), new byte[0]),
-				new ClientCall("id", "host", "/", Optional.empty(), Optional.empty(), 1, 1, OptionalLong.empty()),
+		RelayExchange exchange = new RelayExchange(
+				new RelayRequest("GET", "/", Headers.of(List.of()), new byte[0]), new ClientCall("id", "host", "/",
+						Optional.empty(), Optional.empty(), 1, 1, OptionalLong.empty(), List.of()),
 				this.writer, ClockReading.now(MonotonicClock.system()));
 		exchange.admit(new RouteRule("route", "host", "/", kind, Duration.ofSeconds(9), Duration.ofSeconds(1), 3, 0,
 				false, true, List.of(new WeightedService("s", 1))), Optional.empty());
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayExchangeTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayExchangeTest.java
@@ -31,8 +31,8 @@
 	private final RecordingWriter writer = new RecordingWriter();
 
 	private final RelayExchange exchange = new RelayExchange(
-			new RelayRequest("GET", "/", Headers.of(List.of()), new byte[0]),
-			new ClientCall("id", "host", "/", Optional.empty(), Optional.empty(), 1, 1, OptionalLong.empty()),
+			new RelayRequest("GET", "/", Headers.of(List.of()), new byte[0]), new ClientCall("id", "host", "/",
+					Optional.empty(), Optional.empty(), 1, 1, OptionalLong.empty(), List.of()),
 			this.writer, ClockReading.now(MonotonicClock.system()));
 
 	private RelayAttempt startAttempt() {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
@@ -41,8 +41,9 @@
 	}
 
 	private Optional<Integer> rejectionStatus(String path) {
-		RelayExchange exchange = new RelayExchange(new RelayRequest("GET", path, Headers.of(List.of()), new byte[0]),
-				new ClientCall("id", "host", path, Optional.empty(), Optional.empty(), 0, 0, OptionalLong.empty()),
+		RelayExchange exchange = new RelayExchange(
+				new RelayRequest("GET", path, Headers.of(List.of()), new byte[0]), new ClientCall("id", "host", path,
+						Optional.empty(), Optional.empty(), 0, 0, OptionalLong.empty(), List.of()),
 				new RecordingWriter(), ClockReading.now(MonotonicClock.system()));
 		return this.admission.admit(exchange).map(LocalResponse::status);
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -62,8 +62,9 @@
 	}
 
 	private static RelayExchange exchange() {
-		RelayExchange created = new RelayExchange(new RelayRequest("POST", "/", Headers.of(List.of()), new byte[0]),
-				new ClientCall("id", "host", "/", Optional.empty(), Optional.empty(), 100, 100, OptionalLong.empty()),
+		RelayExchange created = new RelayExchange(
+				new RelayRequest("POST", "/", Headers.of(List.of()), new byte[0]), new ClientCall("id", "host", "/",
+						Optional.empty(), Optional.empty(), 100, 100, OptionalLong.empty(), List.of()),
 				new RecordingWriter(), ClockReading.now(MonotonicClock.system()));
 		created.admit(RULE, Optional.empty());
 		return created;
