Refuse requests whose prompt crashes engines, on all daemons

What callers saw: one part of a prompt crashed each engine that began to answer it.

Cause: the router kept nothing about the requests that an engine had not begun when it was lost, retried them on the next engine, and daemons told each other nothing. A request was always taken for the victim of a crash, never for its cause.

Now each daemon records the requests that an engine had not begun, once a probe shows that the engine is gone, and shares them as objects of the store. Suspected requests get 503 with the time to the next trial; those that wait on an engine are ended with 502.

--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashTracker.java
@@ -0,0 +1,212 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.engine.CrashAttribution;
+import org.mulberrycross.engine.CrashCandidate;
+import org.mulberrycross.engine.CrashEvent;
+import org.mulberrycross.engine.CrashSuspicion;
+import org.mulberrycross.engine.EngineInstance;
+import org.mulberrycross.engine.EnginePath;
+import org.mulberrycross.engine.PathStage;
+
+/**
+ * Collects the requests that engines had not begun to answer when they were lost, and
+ * refuses requests that are likely to crash further engines. Confined to the control
+ * thread; not thread-safe.
+ */
+final class CrashTracker {
+
+	/**
+	 * Retry-After value for a request whose trial is due, but takes place with another
+	 * request.
+	 */
+	private static final Duration RETRY_AFTER_TRIAL = Duration.ofSeconds(1);
+
+	private final CrashAttribution attribution = new CrashAttribution();
+
+	private final MonotonicClock clock;
+
+	private final EngineLossCheck lossCheck;
+
+	private final CrashEventPublisher publisher;
+
+	private final RelayMetrics metrics;
+
+	/** Called when further requests may be suspected. */
+	private final Runnable onSuspicion;
+
+	/** The attempts that wait for the result of a check, by the id of their engine. */
+	private final Map<String, List<Failure>> pendingChecks = new HashMap<>();
+
+	/** Parts for which this daemon has asked for, or may carry out, a trial. */
+	private final Set<String> claims = new HashSet<>();
+
+	private final Set<String> trialPermits = new HashSet<>();
+
+	CrashTracker(MonotonicClock clock, EngineLossCheck lossCheck, CrashEventPublisher publisher, RelayMetrics metrics,
+			Runnable onSuspicion) {
+		this.clock = clock;
+		this.lossCheck = lossCheck;
+		this.publisher = publisher;
+		this.metrics = metrics;
+		this.onSuspicion = onSuspicion;
+	}
+
+	// Records events that this or another daemon has published.
+	void record(List<CrashEvent> events, long nowNanos) {
+		events.forEach((event) -> this.attribution.record(event, nowNanos));
+		if (events.stream().anyMatch(CrashEvent.EngineLost.class::isInstance)) {
+			this.onSuspicion.run();
+		}
+	}
+
+	// Returns whether an attempt that has not begun is likely to crash its engine. The
+	// request of a trial is not recalled.
+	boolean mustRecall(RelayAttempt attempt, long nowNanos) {
+		return !attempt.exchange().isCrashTrial() && mayCrashEngine(attempt)
+				&& isSuspected(attempt.exchange(), nowNanos);
+	}
+
+	// Returns whether a request is likely to crash an engine.
+	boolean isSuspected(RelayExchange exchange, long nowNanos) {
+		return this.attribution.suspicion(exchange.call().sharedPromptParts(), nowNanos).isPresent();
+	}
+
+	// Returns the response to a request that is likely to crash an engine, or empty if
+	// the
+	// request may be sent.
+	Optional<LocalResponse> refuse(RelayExchange exchange, long nowNanos) {
+		Optional<CrashSuspicion> suspicion = this.attribution.suspicion(exchange.call().sharedPromptParts(), nowNanos);
+		if (suspicion.isEmpty()) {
+			return Optional.empty();
+		}
+		CrashSuspicion found = suspicion.get();
+		if (found.isTrialDue() && this.trialPermits.remove(found.part())) {
+			this.attribution.record(new CrashEvent.TrialClaimed(found.part(), found.crashCount()), nowNanos);
+			exchange.markCrashTrial();
+			return Optional.empty();
+		}
+		if (found.isTrialDue()) {
+			claimTrial(found);
+		}
+		this.metrics.countSuspected();
+		Duration retryAfter = found.isTrialDue() ? RETRY_AFTER_TRIAL : found.untilTrial();
+		return Optional.of(LocalResponse.notExecuted(retryAfter, "part " + found.part() + " of the prompt crashed "
+				+ found.crashCount() + " engines one after the other"));
+	}
+
+	private void claimTrial(CrashSuspicion suspicion) {
+		if (!this.claims.add(suspicion.part())) {
+			return;
+		}
+		this.publisher.publish(new CrashEvent.TrialClaimed(suspicion.part(), suspicion.crashCount()), (granted) -> {
+			this.claims.remove(suspicion.part());
+			if (granted) {
+				this.trialPermits.add(suspicion.part());
+			}
+		});
+	}
+
+	// Returns how many engines were lost in a row with the parts of a request.
+	Map<String, Integer> crashCounts(RelayExchange exchange) {
+		return this.attribution.crashCounts(exchange.call().sharedPromptParts());
+	}
+
+	void recordBegun(RelayAttempt attempt, long nowNanos) {
+		this.attribution.recordBegun(attempt.exchange().call().sharedPromptParts(), nowNanos)
+			.forEach((part) -> this.publisher.publish(new CrashEvent.PartBegun(part), (published) -> {
+			}));
+	}
+
+	// Checks whether an engine was lost with a request that it had not begun. Returns
+	// true
+	// if the request was lost with an engine before, so that it must not be retried until
+	// the action is called.
+	boolean recordFailure(RelayAttempt attempt, Set<String> faultyIds, Runnable afterCheck) {
+		if (!attempt.wasSent() || !mayCrashEngine(attempt)) {
+			return false;
+		}
+		boolean repeated = attempt.exchange().engineLosses() > 0;
+		Runnable action = repeated ? afterCheck : () -> {
+		};
+		List<EngineInstance> engines = attempt.forwarding()
+			.path()
+			.map(EnginePath::stages)
+			.orElse(List.of())
+			.stream()
+			.map(PathStage::engine)
+			.filter((engine) -> faultyIds.contains(engine.id()))
+			.toList();
+		if (engines.isEmpty()) {
+			return false;
+		}
+		check(engines.get(0), new Failure(attempt, action));
+		return repeated;
+	}
+
+	// Returns whether an engine has yet to begin the answer of an attempt. A stream that
+	// is
+	// resumed has begun before.
+	private static boolean mayCrashEngine(RelayAttempt attempt) {
+		RelayExchange exchange = attempt.exchange();
+		return !attempt.hasBegun() && !exchange.isResponseStarted() && exchange.call().lastEventId().isEmpty()
+				&& !exchange.call().sharedPromptParts().isEmpty();
+	}
+
+	// Attempts that fail while the engine is checked share the result.
+	private void check(EngineInstance engine, Failure failure) {
+		List<Failure> pending = this.pendingChecks.get(engine.id());
+		if (pending != null) {
+			pending.add(failure);
+			return;
+		}
+		this.pendingChecks.put(engine.id(), new ArrayList<>(List.of(failure)));
+		this.lossCheck.check(engine, (lost) -> {
+			List<Failure> failures = this.pendingChecks.remove(engine.id());
+			if (lost) {
+				recordLoss(engine.id() + "@" + engine.upstream().startedMillis(), failures);
+			}
+			failures.forEach((checked) -> checked.afterCheck().run());
+		});
+	}
+
+	private void recordLoss(String engineId, List<Failure> failures) {
+		CrashEvent.EngineLost event = new CrashEvent.EngineLost(engineId,
+				failures.stream().map((failure) -> candidate(failure.attempt())).distinct().toList());
+		failures.forEach((failure) -> failure.attempt().exchange().recordEngineLoss(this.clock.nanos()));
+		record(List.of(event), this.clock.nanos());
+		this.publisher.publish(event, (published) -> {
+		});
+	}
+
+	// Numbers the loss by those that were known when the attempt was sent, so that
+	// engines
+	// that are lost at the same time count once. A retry was sent after the losses of its
+	// own request.
+	private CrashCandidate candidate(RelayAttempt attempt) {
+		RelayExchange exchange = attempt.exchange();
+		Map<String, Integer> numbers = new HashMap<>();
+		exchange.call().sharedPromptParts().forEach((part) -> {
+			boolean clearedSince = exchange.engineLosses() > 0
+					&& this.attribution.hasBegunSince(part, exchange.firstEngineLossNanos());
+			int ownLosses = clearedSince ? 0 : exchange.engineLosses();
+			numbers.put(part, Math.max(attempt.crashCounts().getOrDefault(part, 0), ownLosses) + 1);
+		});
+		return new CrashCandidate(numbers);
+	}
+
+	/** A failed attempt and the action that waits for the check of its engine. */
+	private record Failure(RelayAttempt attempt, Runnable afterCheck) {
+
+	}
+
+}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -23,6 +23,7 @@
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.caller.CallerLimits;
+import org.mulberrycross.engine.CrashEvent;
 import org.mulberrycross.engine.LeaseActionExecutor;
 import org.mulberrycross.engine.OrderLease;
 import org.mulberrycross.http.HeaderField;
@@ -90,6 +91,10 @@
 
 	private final KindWatcher upstreamWatcher;
 
+	private final CrashEventSharing crashEventSharing;
+
+	private final KindWatcher crashEventWatcher;
+
 	private final RouterMembership routerMembership;
 
 	private final PlacementRunner placementRunner;
@@ -115,9 +120,11 @@
 		SecureRandom secureRandom = new SecureRandom();
 		this.client = new RelayClient();
 		this.engineProber = new EngineProber(adapter.engineReporter());
+		this.crashEventSharing = new CrashEventSharing(adapter.store(), this.controlThread, this::applyCrashEvents,
+				new SplittableRandom(secureRandom.nextLong()));
 		this.relayControl = new RelayControl(this.controlThread, this.clock,
 				new SplittableRandom(secureRandom.nextLong()), settings, adapter.messageFormat(), this.client,
-				this.engineProber, new RelayMetrics(this.metrics));
+				this.engineProber, this.crashEventSharing, new RelayMetrics(this.metrics));
 		this.callerServer = new RelayServer(settings.callerAddress(), this.relayControl::acceptRequest);
 		this.readinessServer = new RelayServer(settings.readinessAddress(), this::handleProbe);
 		this.propagationLimits = settings.propagationLimits();
@@ -131,6 +138,9 @@
 				() -> WatchTiming.ofUpstreams(this.propagationLimits, this.daemonCount),
 				this.configurationWatcher::awaitStoreAvailable, this.clock,
 				new SplittableRandom(secureRandom.nextLong()));
+		this.crashEventWatcher = new KindWatcher(adapter.store(), CrashEventSharing.KIND, this.crashEventSharing,
+				() -> WatchTiming.ofCrashEvents(this.propagationLimits), this.configurationWatcher::awaitStoreAvailable,
+				this.clock, new SplittableRandom(secureRandom.nextLong()));
 		this.routerMembership = new RouterMembership(adapter.store(), settings.name(), this::updateDaemonCount);
 		this.placementRunner = new PlacementRunner(this.placementView::get,
 				new OrderLease(settings.name(), PlacementRunner.LEASE_DURATION),
@@ -143,6 +153,10 @@
 		this.relayControl.reload(changed);
 	}
 
+	private void applyCrashEvents(List<CrashEvent> events) {
+		this.relayControl.applyCrashEvents(events);
+	}
+
 	private void updateDaemonCount(int count) {
 		this.daemonCount = Math.max(1, count);
 		this.controlThread.post(() -> this.relayControl.updateDaemonCount(count));
@@ -164,6 +178,8 @@
 		this.settingsReloader.start();
 		this.configurationWatcher.start();
 		this.upstreamWatcher.start();
+		this.crashEventSharing.start();
+		this.crashEventWatcher.start();
 		this.routerMembership.start();
 		this.placementRunner.start();
 		this.controlThread.scheduleWithFixedDelay(RelayControl.CHECK_PERIOD, this.relayControl::runPeriodicChecks);
@@ -235,6 +251,8 @@
 		this.settingsReloader.close();
 		this.configurationWatcher.close();
 		this.upstreamWatcher.close();
+		this.crashEventWatcher.close();
+		this.crashEventSharing.close();
 		this.routerMembership.close();
 		this.placementRunner.close();
 		this.callerServer.close();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -1,6 +1,7 @@
 package org.mulberrycross.router.relay;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 
 import org.mulberrycross.engine.EnginePath;
@@ -45,6 +46,10 @@
 
 	private boolean released;
 
+	private Map<String, Integer> crashCounts = Map.of();
+
+	private volatile boolean begun;
+
 	RelayAttempt(RelayExchange exchange, Forwarding forwarding, MessageFormat messageFormat, AttemptListener listener,
 			RequestTokens tokens, ResponseBuffers buffers) {
 		this.exchange = Objects.requireNonNull(exchange, "exchange");
@@ -90,6 +95,17 @@
 		return first;
 	}
 
+	// Returns how many engines had been lost with the parts of the prompt when this
+	// attempt
+	// was started.
+	Map<String, Integer> crashCounts() {
+		return this.crashCounts;
+	}
+
+	void setCrashCounts(Map<String, Integer> counts) {
+		this.crashCounts = counts;
+	}
+
 	void attach(RelayCall startedCall) {
 		this.call = startedCall;
 	}
@@ -120,6 +136,11 @@
 		return this.lastDataNanos != 0;
 	}
 
+	// Returns whether the upstream has sent an event of a stream or a complete answer.
+	boolean hasBegun() {
+		return this.begun;
+	}
+
 	@Override
 	public void onRequestStarted() {
 		this.sentNanos = System.nanoTime();
@@ -151,7 +172,10 @@
 			return;
 		}
 		switch (this.exchange.forwardEvents(this, this.head, part)) {
-			case PROGRESS -> recordProgress();
+			case PROGRESS -> {
+				this.begun = true;
+				recordProgress();
+			}
 			case NO_PROGRESS -> {
 				// Bytes without a new event, such as a comment, do not keep a stalled
 				// stream alive.
@@ -195,6 +219,7 @@
 			this.listener.onErrorResponse(this, this.head, this.upstreamHead, completeBody);
 			return;
 		}
+		this.begun = true;
 		this.exchange.sendResponse(this, this.head, completeBody);
 		this.listener.onCompleted(this);
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -19,6 +19,7 @@
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.caller.ClientCall;
+import org.mulberrycross.engine.CrashEvent;
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EngineProfile;
 import org.mulberrycross.http.RelayClient;
@@ -101,10 +102,13 @@
 
 	private final AttemptMonitor attemptMonitor;
 
+	private final CrashTracker crashTracker;
+
 	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
 
 	RelayControl(ControlThread controlThread, MonotonicClock clock, RandomGenerator random, RelaySettings settings,
-			MessageFormat messageFormat, RelayClient client, EngineProber engineProber, RelayMetrics metrics) {
+			MessageFormat messageFormat, RelayClient client, EngineProber engineProber, CrashEventPublisher publisher,
+			RelayMetrics metrics) {
 		this.controlThread = Objects.requireNonNull(controlThread, "controlThread");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.messageFormat = Objects.requireNonNull(messageFormat, "messageFormat");
@@ -119,6 +123,10 @@
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
 				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt);
+		this.crashTracker = new CrashTracker(clock,
+				(engine, onResult) -> engineProber.probe(engine, Duration.ZERO, clock.nanos(),
+						(probed, report) -> controlThread.post(() -> onResult.accept(report.isEmpty()))),
+				publisher, metrics, this::recallSuspected);
 	}
 
 	// Returns whether the load balancer should open connections. Callable on any thread.
@@ -197,6 +205,26 @@
 		this.admission.confirmCurrent(asOf);
 	}
 
+	// Applies what this and other daemons have seen of requests that may crash engines.
+	void applyCrashEvents(List<CrashEvent> events) {
+		this.controlThread.assertOnControlThread();
+		this.crashTracker.record(events, this.clock.nanos());
+		this.admission.markCrashEventsListed();
+	}
+
+	// Ends the requests in flight that are likely to crash the engine they wait for.
+	private void recallSuspected() {
+		for (RelayExchange exchange : this.inFlight.snapshot()) {
+			RelayAttempt attempt = exchange.currentAttempt();
+			if (attempt != null && !exchange.isFinished()
+					&& this.crashTracker.mustRecall(attempt, this.clock.nanos())) {
+				attempt.cancel();
+				this.inFlight.fail(exchange, "a part of the prompt has crashed engines",
+						InFlightRequests.RETRY_AFTER_BUSY);
+			}
+		}
+	}
+
 	// Accepts a request. Called on a selector thread.
 	void acceptRequest(RelayRequest request, ResponseWriter response) {
 		ClientCall call = this.messageFormat.decodeRequest(request);
@@ -230,10 +258,15 @@
 	}
 
 	private void dispatchOrWait(RelayExchange exchange) {
+		long nowNanos = this.clock.nanos();
+		Optional<LocalResponse> refusal = this.crashTracker.refuse(exchange, nowNanos);
+		if (refusal.isPresent()) {
+			this.inFlight.reject(exchange, refusal.get());
+			return;
+		}
 		if (dispatch(exchange)) {
 			return;
 		}
-		long nowNanos = this.clock.nanos();
 		Duration maxWait = exchange.rule().targetLatency().dividedBy(TARGET_LATENCY_WAIT_DIVISOR);
 		if (exchange.age(nowNanos).compareTo(maxWait) < 0 && exchange.attempts() == 0) {
 			this.waiting.add(exchange);
@@ -259,6 +292,7 @@
 		}
 		RelayAttempt attempt = new RelayAttempt(exchange, forwarding.get(), this.messageFormat, this,
 				UpstreamSelector.requestTokens(exchange), this.responseBuffers);
+		attempt.setCrashCounts(this.crashTracker.crashCounts(exchange));
 		exchange.startAttempt(attempt);
 		exchange.addExecutions(1);
 		this.selector.recordSent(attempt);
@@ -272,6 +306,9 @@
 	public void onFirstData(RelayAttempt attempt) {
 		this.controlThread.post(() -> {
 			this.selector.recordPrefillDone(attempt);
+			if (attempt.hasBegun()) {
+				this.crashTracker.recordBegun(attempt, this.clock.nanos());
+			}
 			this.attemptMonitor.recordFirstData(attempt, this.clock.nanos());
 		});
 	}
@@ -284,6 +321,7 @@
 				return;
 			}
 			attempt.upstreamIds().forEach(this.health::recordSuccess);
+			this.crashTracker.recordBegun(attempt, this.clock.nanos());
 			this.inFlight.finish(exchange, "complete");
 		});
 	}
@@ -377,12 +415,24 @@
 					() -> this.inFlight.fail(exchange, reason, InFlightRequests.RETRY_AFTER_BUSY));
 			return;
 		}
+		boolean deferred = this.crashTracker.recordFailure(attempt, faultyIds, () -> {
+			if (isCurrent(attempt)) {
+				retryExecuted(exchange, reason);
+			}
+		});
+		if (!deferred) {
+			retryExecuted(exchange, reason);
+		}
+	}
+
+	// Retries a request that an upstream may have executed, or fails it.
+	private void retryExecuted(RelayExchange exchange, String reason) {
+		Runnable fail = () -> this.inFlight.fail(exchange, reason, InFlightRequests.RETRY_AFTER_BUSY);
 		if (exchange.rule().isRetryable() && exchange.executions() < exchange.rule().maxExecutions()) {
-			retryOrElse(exchange, reason,
-					() -> this.inFlight.fail(exchange, reason, InFlightRequests.RETRY_AFTER_BUSY));
+			retryOrElse(exchange, reason, fail);
 			return;
 		}
-		this.inFlight.fail(exchange, reason, InFlightRequests.RETRY_AFTER_BUSY);
+		fail.run();
 	}
 
 	private void retryOrElse(RelayExchange exchange, String reason, Runnable fallback) {
@@ -408,6 +458,9 @@
 		if (exchange.attempts() >= MAX_ATTEMPTS) {
 			return Optional.of("the maximum number of attempts is reached");
 		}
+		if (this.crashTracker.isSuspected(exchange, this.clock.nanos())) {
+			return Optional.of("a part of the prompt has crashed engines");
+		}
 		if (!this.retryBudgets.tryAcquire(exchange.rule(), this.clock.nanos())) {
 			return Optional.of("the retry budget is exhausted");
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -46,6 +46,12 @@
 
 	private int executions;
 
+	private int engineLosses;
+
+	private long firstEngineLossNanos;
+
+	private boolean crashTrial;
+
 	private boolean finished;
 
 	private volatile RelayAttempt currentAttempt;
@@ -135,6 +141,32 @@
 		this.executions += change;
 	}
 
+	// Returns how many engines were lost before they began to answer this request.
+	int engineLosses() {
+		return this.engineLosses;
+	}
+
+	// Returns the time of the first loss, undefined before it.
+	long firstEngineLossNanos() {
+		return this.firstEngineLossNanos;
+	}
+
+	void recordEngineLoss(long nowNanos) {
+		if (this.engineLosses == 0) {
+			this.firstEngineLossNanos = nowNanos;
+		}
+		this.engineLosses++;
+	}
+
+	// Returns whether this request tries out whether its prompt still crashes engines.
+	boolean isCrashTrial() {
+		return this.crashTrial;
+	}
+
+	void markCrashTrial() {
+		this.crashTrial = true;
+	}
+
 	boolean isFinished() {
 		return this.finished;
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
@@ -21,6 +21,11 @@
 		this.registry.counter("requests.refused").inc();
 	}
 
+	// Counts a request that was refused because it is likely to crash an engine.
+	void countSuspected() {
+		this.registry.counter("requests.suspected").inc();
+	}
+
 	void countRetry() {
 		this.registry.counter("requests.sent_again").inc();
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -41,6 +41,8 @@
 
 	private boolean directoryListed;
 
+	private boolean crashEventsListed;
+
 	private boolean draining;
 
 	private boolean refusingAll;
@@ -81,6 +83,11 @@
 		updateReadiness();
 	}
 
+	void markCrashEventsListed() {
+		this.crashEventsListed = true;
+		updateReadiness();
+	}
+
 	// Applies a configuration unless the current version is the same or newer. Returns
 	// whether it did.
 	boolean apply(ServingConfiguration candidate) {
@@ -148,7 +155,8 @@
 	// Recomputes the readiness. Also called periodically, since the configuration ages
 	// without an event.
 	void updateReadiness() {
-		boolean readyNow = !this.draining && this.configuration.isPresent() && this.directoryListed && hasFreshKeys();
+		boolean listed = this.directoryListed && this.crashEventsListed;
+		boolean readyNow = !this.draining && this.configuration.isPresent() && listed && hasFreshKeys();
 		if (readyNow != this.ready) {
 			this.ready = readyNow;
 			logger.atInfo()
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -52,7 +52,7 @@
 			.addKeyValue("reason", reason)
 			.addKeyValue("upstream", attempt.forwarding().upstream().id())
 			.addKeyValue("sent", attempt.wasSent())
-			.addKeyValue("begun", attempt.hasReceivedData())
+			.addKeyValue("begun", attempt.hasBegun())
 			.addKeyValue("parts", exchange.call().sharedPromptParts())
 			.log("attempt failed");
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
@@ -45,6 +45,8 @@
 	/** Part of the limit on leaving upstreams for which changes accumulate. */
 	private static final int UPSTREAM_BATCH_DIVISOR = 4;
 
+	private static final Duration CRASH_EVENT_BATCH_DELAY = Duration.ofMillis(15);
+
 	/**
 	 * Additional pause for each daemon, since each change costs one call of each daemon:
 	 * all daemons together make at most 40 calls a second for changes of one kind.
@@ -74,6 +76,13 @@
 				batchDelay(MIN_UPSTREAM_BATCH_DELAY, limits.drain().dividedBy(UPSTREAM_BATCH_DIVISOR), daemonCount));
 	}
 
+	// Returns the timing for events about requests that crash engines. They are rare, and
+	// each moment of delay may cost an engine, so the pause does not grow with the fleet.
+	static WatchTiming ofCrashEvents(PropagationLimits limits) {
+		WatchTiming upstreams = ofUpstreams(limits, 1);
+		return new WatchTiming(upstreams.watchTimeout(), upstreams.maxConfirmationAge(), CRASH_EVENT_BATCH_DELAY);
+	}
+
 	private static Duration batchDelay(Duration minimum, Duration maximum, int daemonCount) {
 		Duration delay = min(BATCH_DELAY_PER_DAEMON.multipliedBy(daemonCount), maximum);
 		return (delay.compareTo(minimum) < 0) ? minimum : delay;
