Keep following the list of upstreams beside odd entries

What callers would see: one entry of another writer, deeply nested, with a number too large or with bytes that are no UTF-8, made each list and watch fail as a whole. Daemons kept old upstreams, or became ready never.

A listener that threw ended the thread of the watcher without a line.

A watcher that fails in another way logs it and lists again.

KindWatcherTest #listsAgainAfterChangeThatCannotBeApplied guards the thread; it was written with the fix.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -118,6 +118,12 @@
 			catch (PeerException ex) {
 				recordFailure(ex);
 			}
+			catch (RuntimeException ex) {
+				// The thread must not end: nobody else follows the objects.
+				logger.atError().addKeyValue("kind", this.kind).setCause(ex).log("objects not applied, listing again");
+				listed = false;
+				pause(this.random.nextInt(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS));
+			}
 		}
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -32,6 +32,8 @@
 
 	private static final int POLL_TIMEOUT_SECONDS = 10;
 
+	private static final String UNUSABLE = "unusable";
+
 	private static final WatchTiming TIMING = new WatchTiming(Duration.ofMillis(4000), Duration.ofDays(1),
 			Duration.ofMillis(1));
 
@@ -94,6 +96,22 @@
 		}
 	}
 
+	/**
+	 * Fails if a change that cannot be applied ends the thread, after which the daemon no
+	 * longer follows the list.
+	 */
+	@Test
+	void listsAgainAfterChangeThatCannotBeApplied() throws Exception {
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(
+				List.of(result(6, false, UNUSABLE), result(7, false, "a")));
+		try (KindWatcher watcher = newWatcher(results)) {
+			watcher.start();
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			assertThat(poll(this.notifications)).isEqualTo("changed 1");
+		}
+	}
+
 	/** Fails if changes are missed after the watch history was compacted. */
 	@Test
 	void relistsAfterCompaction() throws Exception {
@@ -171,6 +189,9 @@
 
 		@Override
 		public void onChanged(List<ObjectChange> changes, ClockReading asOf) {
+			if (changes.stream().anyMatch((change) -> change.key().endsWith(UNUSABLE))) {
+				throw new IllegalArgumentException("unusable");
+			}
 			KindWatcherTest.this.notifications.add("changed " + changes.size());
 		}
 
