Send calls that must not be repeated on connections of their own

What callers would see: a service that wrote its refusal of a probe once more, late, on the kept connection made the caller believe that its call had not run while it ran; the call could then run twice.

Cause: HttpClient#sendAfterProbe sent the call on the connection of the probe, so that the second copy was taken for the response to the call.

Evidence: HttpServiceClientTest, case "refusal twice, slow": NOT_RUN instead of COMPLETED before, one call reached the service.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -118,9 +118,10 @@
 	}
 
 	/**
-	 * Sends a probe on a new connection, and then the request on the same connection once
-	 * the probe has received a response of any status. If the peer closes the connection
-	 * after that response, the request is sent on another new connection.
+	 * Sends a probe on a new connection, and then the request on another new one once the
+	 * probe has received a response of any status. The request's connection carries
+	 * nothing else, so that a response which the peer sends once more cannot be taken for
+	 * that to the request.
 	 * @param probe the probe, not null
 	 * @param call the request, not null
 	 * @return the response to the request, whatever its status
@@ -131,23 +132,11 @@
 	 */
 	public HttpReply sendAfterProbe(HttpCall probe, HttpCall call) throws PeerException {
 		Objects.requireNonNull(call, "call");
-		Connection<?> connection = connect(probe.withNewConnection());
 		try {
-			HttpExchange probeExchange = new HttpExchange(BodyListener.NONE);
-			try {
-				execute(connection, probe, probeExchange, System.nanoTime() + probe.timeout().toNanos());
-			}
-			catch (OutcomeUnknownException ex) {
-				throw new NotRunException(ex.step(), ex.peer(), "probe failed, request not sent: " + ex.getMessage(),
-						ex);
-			}
-			if (probeExchange.isKeepAlive() && connection.isOpen()) {
-				return execute(connection, call, new HttpExchange(BodyListener.NONE),
-						System.nanoTime() + call.timeout().toNanos());
-			}
+			send(probe.withNewConnection());
 		}
-		finally {
-			releaseOrClose(connection, false);
+		catch (OutcomeUnknownException ex) {
+			throw new NotRunException(ex.step(), ex.peer(), "probe failed, request not sent: " + ex.getMessage(), ex);
 		}
 		return send(call.withNewConnection());
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/service/http/HttpServiceClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/service/http/HttpServiceClient.java
@@ -20,9 +20,9 @@
 
 /**
  * Thread-safe client that calls services over HTTP. A call that must not be repeated is
- * sent on a new connection, after a GET of {@code /healthz} on it got a response of any
- * status. A service or connection that does not respond is thus detected before any byte
- * of the call is sent.
+ * sent on a new connection, after a GET of {@code /healthz} on another one got a response
+ * of any status. A service that does not respond is thus detected before any byte of the
+ * call is sent, and no earlier response can be taken for that to the call.
  */
 public final class HttpServiceClient implements ServiceClient {
 
--- a/mulberrycross/src/test/java/org/mulberrycross/service/http/HttpServiceClientTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/service/http/HttpServiceClientTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -40,6 +41,8 @@
 
 	private static final String OK_AND_CLOSE = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
+	private static final long REPETITION_DELAY_MILLIS = 50;
+
 	private final List<String> requestLines = new CopyOnWriteArrayList<>();
 
 	/**
@@ -51,8 +54,9 @@
 			"true, ok, close, UNKNOWN, 1", "true, ok, silent, UNKNOWN, 1", "true, ok, truncated, UNKNOWN, 1",
 			"true, silent, created, NOT_RUN, 0", "true, close, created, NOT_RUN, 0",
 			"true, truncated, created, NOT_RUN, 0", "true, error, created, COMPLETED, 1",
-			"true, ok and close, created, COMPLETED, 1", "true, ok and close, close, UNKNOWN, 1",
-			"false, silent, created, COMPLETED, 1", "false, ok, close, UNKNOWN, 1" })
+			"true, refusal twice, slow, COMPLETED, 1", "true, ok and close, created, COMPLETED, 1",
+			"true, ok and close, close, UNKNOWN, 1", "false, silent, created, COMPLETED, 1",
+			"false, ok, close, UNKNOWN, 1" })
 	void faultsMapToOutcomes(boolean atMostOnce, String probeResponse, String callResponse, CallOutcome.Kind kind,
 			int calls) throws IOException {
 		try (ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
@@ -134,6 +138,27 @@
 		}
 	}
 
+	// Writes a response that was already written once more, while the next request runs.
+	private static void repeatLater(OutputStream out, String response) {
+		try {
+			pause(REPETITION_DELAY_MILLIS);
+			out.write(response.getBytes(StandardCharsets.US_ASCII));
+			out.flush();
+		}
+		catch (IOException ex) {
+			// The client closed the connection.
+		}
+	}
+
+	private static void pause(long millis) throws IOException {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			throw new IOException(ex);
+		}
+	}
+
 	private static boolean sendResponse(Socket socket, String responseName) throws IOException {
 		if (responseName.equals("silent")) {
 			return socket.getInputStream().read() >= 0;
@@ -141,15 +166,21 @@
 		OutputStream out = socket.getOutputStream();
 		String response = switch (responseName) {
 			case "ok" -> OK;
-			case "created" -> CREATED;
-			case "not run" -> NOT_RUN;
+			case "created", "slow" -> CREATED;
+			case "not run", "refusal twice" -> NOT_RUN;
 			case "error" -> SERVER_ERROR;
 			case "truncated" -> TRUNCATED;
 			case "ok and close" -> OK_AND_CLOSE;
 			default -> "";
 		};
+		if (responseName.equals("slow")) {
+			pause(4 * REPETITION_DELAY_MILLIS);
+		}
 		out.write(response.getBytes(StandardCharsets.US_ASCII));
 		out.flush();
+		if (responseName.equals("refusal twice")) {
+			startDaemonThread(() -> repeatLater(out, response));
+		}
 		return !List.of("close", "truncated", "ok and close").contains(responseName);
 	}
 
