Pass nothing into a stream that is not an event

What callers would see: after a stream had moved to the next engine, the head and text of an error that this engine wrote into its answer ("HTTP/1.1 500 ...", a blank line) stood in the middle of their stream, and the stream could end as complete. After a gap in a stream, the next engine could not continue it.

Cause: EventStream took any text up to a blank line for an event without an id, and kept the record of a gap when the stream moved on.

Now a line must be a comment or a field; anything else ends the attempt, and the stream is resumed elsewhere or broken off. A new attempt starts without the gap of the last one.

EventStreamTest#continuesAfterBrokenStream and #rejectsTextThatIsNoEvent use a method that is new.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
@@ -25,6 +25,8 @@
 
 	private boolean sequenceGap;
 
+	private boolean invalidEvent;
+
 	/**
 	 * Creates a stream.
 	 * @param lastId the id of the last event that the client received, or empty if it has
@@ -36,7 +38,7 @@
 
 	/**
 	 * Processes the next bytes from an engine. Events that the client already has and
-	 * events after a gap are dropped.
+	 * events after a gap are dropped, as is all from an invalid event on.
 	 * @param part the bytes, not null
 	 * @return the new complete events, may be empty
 	 */
@@ -46,6 +48,10 @@
 		ByteArrayOutputStream complete = new ByteArrayOutputStream();
 		int start = 0;
 		for (int end = eventEnd(bytes, start); end > 0; end = eventEnd(bytes, start)) {
+			if (!isEvent(bytes, start, end)) {
+				this.invalidEvent = true;
+				break;
+			}
 			if (advanceTo(parseId(bytes, start, end))) {
 				complete.write(bytes, start, end - start);
 			}
@@ -58,9 +64,14 @@
 		return (complete.size() > 0) ? complete.toByteArray() : EMPTY;
 	}
 
-	/** Discards the incomplete event at the end of an interrupted stream. */
+	/**
+	 * Discards what an interrupted stream left behind: an incomplete or invalid event,
+	 * and the record of a gap.
+	 */
 	public void dropPartialEvent() {
 		this.buffer.reset();
+		this.sequenceGap = false;
+		this.invalidEvent = false;
 	}
 
 	/**
@@ -95,6 +106,33 @@
 		return this.sequenceGap;
 	}
 
+	/**
+	 * Returns whether the engine sent something that is not an event, such as the text of
+	 * an error.
+	 * @return true if no further bytes should be passed to this stream
+	 */
+	public boolean hasInvalidEvent() {
+		return this.invalidEvent;
+	}
+
+	// Returns whether each line is a comment, or a field with a name of letters, digits
+	// and hyphens.
+	private static boolean isEvent(byte[] bytes, int start, int end) {
+		boolean inName = true;
+		for (int i = start; i < end; i++) {
+			if (bytes[i] == '\n') {
+				inName = true;
+			}
+			else if (bytes[i] == ':') {
+				inName = false;
+			}
+			else if (inName && bytes[i] != '\r' && bytes[i] != '-' && !Character.isLetterOrDigit(bytes[i])) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	// Returns whether the event is passed on. Events without an id always are.
 	private boolean advanceTo(OptionalLong id) {
 		if (id.isEmpty()) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -181,6 +181,7 @@
 				// stream alive.
 			}
 			case SEQUENCE_GAP -> abort("an event of the stream is missing");
+			case INVALID_EVENT -> abort("the stream contains something that is not an event");
 			case OVERSIZED_EVENT -> abort("an event of the stream is too long");
 		}
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -215,6 +215,9 @@
 		if (this.eventStream.hasSequenceGap()) {
 			return ForwardingResult.SEQUENCE_GAP;
 		}
+		if (this.eventStream.hasInvalidEvent()) {
+			return ForwardingResult.INVALID_EVENT;
+		}
 		if (this.eventStream.isEventOversized()) {
 			return ForwardingResult.OVERSIZED_EVENT;
 		}
@@ -283,6 +286,9 @@
 		/** An event is missing. */
 		SEQUENCE_GAP,
 
+		/** Something that is not an event. */
+		INVALID_EVENT,
+
 		/** An incomplete event exceeds the limit. */
 		OVERSIZED_EVENT
 
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
@@ -48,6 +48,38 @@
 		assertThat(stream.lastId()).isEqualTo(OptionalLong.of(59));
 	}
 
+	/**
+	 * Fails if the head or the text of an error that an engine writes into its stream is
+	 * passed on as an event, or if a comment or an event without an id is not.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\n", "{\"error\":1}\n\n",
+			"<html>\n\n", "internal error at line 7\n\n", "id: 3\nno such layer\n\n" })
+	void rejectsTextThatIsNoEvent(String text) {
+		EventStream stream = new EventStream(OptionalLong.empty());
+		byte[] sound = bytes(events(1, 3) + ": wait\n\nretry: 10\n\ndata\n\n");
+		assertThat(stream.extractEvents(sound)).isEqualTo(sound);
+		assertThat(stream.hasInvalidEvent()).isFalse();
+		assertThat(stream.extractEvents(bytes(text))).isEmpty();
+		assertThat(stream.hasInvalidEvent()).isTrue();
+	}
+
+	/**
+	 * Fails if a stream that one engine broke by a gap or by something that is not an
+	 * event cannot go on at the next engine.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "id: 9\ndata: a\n\n", "not an event\n\n" })
+	void continuesAfterBrokenStream(String broken) {
+		EventStream stream = new EventStream(OptionalLong.empty());
+		stream.extractEvents(bytes(events(1, 3) + broken));
+		assertThat(stream.hasSequenceGap() || stream.hasInvalidEvent()).isTrue();
+		stream.dropPartialEvent();
+		assertThat(stream.extractEvents(bytes(events(3, 5)))).isEqualTo(bytes(events(3, 5)));
+		assertThat(stream.hasSequenceGap()).isFalse();
+		assertThat(stream.hasInvalidEvent()).isFalse();
+	}
+
 	/**
 	 * Fails if an interrupted event is merged with one from the next engine, or an event
 	 * is repeated.
