--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashTracker.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashTracker.java
@@ -208,7 +208,7 @@
 		}));
 	}
 
-	// Numbers the loss by those that were known when the attempt was sent: engines lost at
+	// Numbers the loss by those known when the attempt was sent, so that engines lost at
 	// the same time count once. A retry was sent after the losses of its own request.
 	private CrashCandidate candidate(RelayAttempt attempt) {
 		RelayExchange exchange = attempt.exchange();
