--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -71,6 +71,7 @@
 				ids.add(Long.parseLong(line.substring(4)));
 			}
 		}
+		Util.readLine(this.in);
 	}
 
 	Reply read() throws IOException {
