Count the time to register again from the recovery of the store

An upstream whose entry was removed up to two seconds after the store had recovered got requests for two more seconds from then on, and up to a batch delay longer than the limit on leaving upstreams. Cause: UpstreamDirectory gave each entry two seconds from its removal. Upstreams that lost their entry in an outage register again within two seconds of the recovery; an entry removed later is not one of them. Evidence: UpstreamDirectoryTest#reregistrationTimeCountsFromRecovery failed on (the entry removed 1 s after the recovery was still eligible 2 s after it).

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -33,11 +33,8 @@
 	/** The id of the entry that started last at each address of a service. */
 	private final Map<ServiceAddress, String> idsByAddress = new HashMap<>();
 
-	/**
-	 * Ids of entries whose removal was postponed because of an outage, with the monotonic
-	 * time in nanoseconds from which they may be dropped.
-	 */
-	private final Map<String, Long> removalDeadlines = new HashMap<>();
+	/** Ids of entries whose removal was postponed because of an outage. */
+	private final Set<String> postponedRemovals = new HashSet<>();
 
 	/**
 	 * Object kinds that cannot be watched. Any one of them means that the store is
@@ -86,7 +83,7 @@
 		}
 		other.filter((found) -> startedLater(entry, found)).ifPresent((former) -> drop(former, "started again"));
 		this.idsByAddress.put(ServiceAddress.of(entry), id);
-		this.removalDeadlines.remove(id);
+		this.postponedRemovals.remove(id);
 		DirectoryEntry previous = this.entries.put(id, entry);
 		if (previous == null || !previous.equals(entry)) {
 			logger.atInfo()
@@ -107,7 +104,7 @@
 	private void drop(DirectoryEntry entry, String reason) {
 		String id = entry.instance().id();
 		this.entries.remove(id);
-		this.removalDeadlines.remove(id);
+		this.postponedRemovals.remove(id);
 		this.idsByAddress.remove(ServiceAddress.of(entry), id);
 		logger.atInfo().addKeyValue("upstream", id).addKeyValue("reason", reason).log("upstream removed");
 	}
@@ -118,11 +115,8 @@
 		if (entry == null) {
 			return;
 		}
-		boolean justRecovered = this.availableSinceNanos.isPresent()
-				&& nowNanos - this.availableSinceNanos.getAsLong() < REREGISTRATION_TIME.toNanos();
-		boolean outage = !this.unavailableKinds.isEmpty() || justRecovered;
-		if (outage) {
-			this.removalDeadlines.putIfAbsent(id, nowNanos + REREGISTRATION_TIME.toNanos());
+		if (!this.unavailableKinds.isEmpty() || isReregistrationTime(nowNanos)) {
+			this.postponedRemovals.add(id);
 			return;
 		}
 		drop(entry, "not listed");
@@ -130,15 +124,19 @@
 
 	// Removes entries that were not registered again in time after an outage.
 	void removeExpired(long nowNanos) {
-		if (!this.unavailableKinds.isEmpty() || this.removalDeadlines.isEmpty()) {
+		if (!this.unavailableKinds.isEmpty() || isReregistrationTime(nowNanos)) {
 			return;
 		}
-		long reregistrationEndNanos = this.availableSinceNanos.orElse(nowNanos) + REREGISTRATION_TIME.toNanos();
-		Map.copyOf(this.removalDeadlines).forEach((id, deadlineNanos) -> {
-			if (nowNanos - Math.max(deadlineNanos, reregistrationEndNanos) >= 0) {
-				drop(this.entries.get(id), "not registered again after the store outage");
-			}
-		});
+		Set.copyOf(this.postponedRemovals)
+			.forEach((id) -> drop(this.entries.get(id), "not registered again after the store outage"));
+	}
+
+	// Returns whether upstreams may still register again after an outage. Their time
+	// counts from the recovery of the store, since an entry that is removed later does
+	// not lapse because of the outage.
+	private boolean isReregistrationTime(long nowNanos) {
+		return this.availableSinceNanos.isPresent()
+				&& nowNanos - this.availableSinceNanos.getAsLong() < REREGISTRATION_TIME.toNanos();
 	}
 
 	// Returns the entries of a service that accept new requests.
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
@@ -119,6 +119,22 @@
 		assertThat(eligibleIds()).isEmpty();
 	}
 
+	/**
+	 * Fails if an entry that is removed shortly after an outage is kept for longer than
+	 * upstreams take to register again after it.
+	 */
+	@Test
+	void reregistrationTimeCountsFromRecovery() {
+		this.directory.put(entry("a", false));
+		this.directory.markStoreUnavailable("a-kind");
+		this.directory.markStoreAvailable("a-kind", 10 * NANOS_PER_SECOND);
+		this.directory.remove("a", 11 * NANOS_PER_SECOND);
+		this.directory.removeExpired(12 * NANOS_PER_SECOND - 1);
+		assertThat(eligibleIds()).containsExactly("a");
+		this.directory.removeExpired(12 * NANOS_PER_SECOND);
+		assertThat(eligibleIds()).isEmpty();
+	}
+
 	/** Fails if an entry that was registered again in time is removed. */
 	@Test
 	void keepsReregisteredEntry() {
