Close idle connections to an address after one of them went silent

Cause: connections to the store go silent together. After a call had timed out, the pool gave the next call an idle connection that was silent as well. Fix: a call without a reply within its timeout closes all idle connections to its address, so the next call opens a new one. This holds for all calls of HttpClient: followers, lease and registration calls, siblings and services. Calls to engines and relayed requests use a new connection each and could not take a silent one.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -31,7 +33,8 @@
 /**
  * HTTP client over Grizzly with pooled connections. Each connection carries one exchange
  * at a time. After a timeout the connection is closed and not reused, since a connection
- * can stop responding while new ones work. Thread-safe; {@link #send} and
+ * can stop responding while new ones work, and so are all idle connections to the same
+ * address, which may have gone silent with it. Thread-safe; {@link #send} and
  * {@link #sendAfterProbe} block, so they must not be called on a selector thread or on
  * the control thread.
  */
@@ -51,6 +54,9 @@
 
 	private final MultiEndpointPool<SocketAddress> pool;
 
+	/** The connections in the pool that carry no exchange, by address. */
+	private final Map<SocketAddress, Set<Connection<?>>> idleConnections = new ConcurrentHashMap<>();
+
 	/**
 	 * Creates a client and starts its selector threads.
 	 * @param selectorThreads the number of selector threads, at least 1
@@ -113,7 +119,7 @@
 			return reply;
 		}
 		finally {
-			releaseOrClose(connection, reusable);
+			releaseOrClose(connection, call.address().socketAddress(), reusable);
 		}
 	}
 
@@ -141,7 +147,7 @@
 		return send(call.withNewConnection());
 	}
 
-	private static HttpReply execute(Connection<?> connection, HttpCall call, HttpExchange exchange, long deadlineNanos)
+	private HttpReply execute(Connection<?> connection, HttpCall call, HttpExchange exchange, long deadlineNanos)
 			throws OutcomeUnknownException {
 		try {
 			HttpExchangeFilter.attach(connection, exchange);
@@ -149,6 +155,7 @@
 			return exchange.reply().get(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
 		}
 		catch (TimeoutException ex) {
+			closeIdleConnections(call.address().socketAddress());
 			throw outcomeUnknown(call, "no complete reply within " + call.timeout().toMillis() + " ms", ex);
 		}
 		catch (ExecutionException ex) {
@@ -160,13 +167,33 @@
 		}
 	}
 
-	private void releaseOrClose(Connection<?> connection, boolean reusable) {
+	private void releaseOrClose(Connection<?> connection, SocketAddress address, boolean reusable) {
 		HttpExchangeFilter.detach(connection);
-		if (reusable) {
-			this.pool.release(connection);
+		if (!reusable) {
+			connection.closeSilently();
 			return;
 		}
-		connection.closeSilently();
+		Set<Connection<?>> idle = this.idleConnections.computeIfAbsent(address, (key) -> ConcurrentHashMap.newKeySet());
+		idle.removeIf((other) -> !other.isOpen());
+		idle.add(connection);
+		this.pool.release(connection);
+	}
+
+	private void markInUse(Connection<?> connection, SocketAddress address) {
+		Set<Connection<?>> idle = this.idleConnections.get(address);
+		if (idle != null) {
+			idle.remove(connection);
+		}
+	}
+
+	// The pool drops the connections that are closed here.
+	private void closeIdleConnections(SocketAddress address) {
+		Set<Connection<?>> idle = this.idleConnections.getOrDefault(address, Set.of());
+		for (Connection<?> connection : idle) {
+			if (idle.remove(connection)) {
+				connection.closeSilently();
+			}
+		}
 	}
 
 	private Connection<?> connect(HttpCall call) throws NotRunException {
@@ -175,7 +202,9 @@
 		Future<? extends Connection<?>> connectionFuture = null;
 		try {
 			connectionFuture = call.newConnection() ? openConnection(address) : takePooledConnection(address);
-			return connectionFuture.get(timeoutNanos, TimeUnit.NANOSECONDS);
+			Connection<?> connection = connectionFuture.get(timeoutNanos, TimeUnit.NANOSECONDS);
+			markInUse(connection, address);
+			return connection;
 		}
 		catch (TimeoutException ex) {
 			connectionFuture.cancel(true);
--- a/mulberrycross/src/test/java/org/mulberrycross/http/HttpClientTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/HttpClientTest.java
@@ -6,24 +6,29 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mulberrycross.Address;
 import org.mulberrycross.OutcomeUnknownException;
 import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /**
- * Guards against replies of the store, a sibling or an engine that do not end.
+ * Guards against replies of the store, a sibling or an engine that do not end, and
+ * against connections to them that go silent.
  */
 class HttpClientTest {
 
 	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
 
+	private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(300);
+
 	private static final long MAX_WAIT_SECONDS = 20;
 
 	/** Fails if a reply without end fills the memory. */
@@ -42,4 +47,34 @@
 		}
 	}
 
+	/**
+	 * Fails if the call after one without a reply takes another idle connection, which
+	 * may have gone silent at the same moment. Each such connection cost the followers of
+	 * the store a further timeout, while new connections worked.
+	 */
+	@Test
+	void idleConnectionsAreNotUsedAfterOneWentSilent() throws Exception {
+		try (SilentConnections server = new SilentConnections(); HttpClient client = new HttpClient(1)) {
+			HttpCall call = HttpCall.get(Step.READ_OBJECT, new Peer(Peer.Kind.PLATFORM, "store"), server.address(),
+					"/objects/servers", CALL_TIMEOUT);
+			CompletableFuture<Void> other = CompletableFuture.runAsync(() -> sendQuietly(client, call));
+			sendQuietly(client, call);
+			other.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
+			server.silenceOpenConnections();
+			HttpCall shortCall = HttpCall.get(Step.READ_OBJECT, call.peer(), server.address(), call.path(),
+					SILENCE_TIMEOUT);
+			assertThrows(OutcomeUnknownException.class, () -> client.send(shortCall));
+			assertThat(client.send(call).status()).isEqualTo(200);
+		}
+	}
+
+	private static void sendQuietly(HttpClient client, HttpCall call) {
+		try {
+			client.send(call);
+		}
+		catch (PeerException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 }
