Notice a silent watch of the store within the contact time

Cause: the limits apply again after the contact time, but a watch was noticed to be silent after 3.6 s (configuration) or 4.8 to 6.8 s (upstreams), before pauses. Ruled out: late application; the version is applied at once when it is received. Fix: the timeout of both watches follows from the contact time, less the pause for changes that comes before a watch, and the time to fail and to call again.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
@@ -15,10 +15,18 @@
 record WatchTiming(Duration watchTimeout, Duration maxConfirmationAge, Duration batchDelay) {
 
 	/**
-	 * Timeout of a watch of the configuration. With the time until a silent connection is
-	 * noticed, it stays below the age at which keys are no longer accepted.
+	 * Maximum timeout of a watch. With the time until its call fails, it stays below the
+	 * age at which keys are no longer accepted, and below the time after which upstreams
+	 * that cannot reach the store lose their entries: an outage in which entries lapse is
+	 * noticed while it lasts.
 	 */
-	private static final Duration CONFIGURATION_TIMEOUT = Duration.ofMillis(2800);
+	private static final Duration MAX_TIMEOUT = Duration.ofMillis(2800);
+
+	/**
+	 * Part of the contact time that is left after a watch: its call fails 0.8 s after the
+	 * end of its wait, and the next call needs a new connection.
+	 */
+	private static final Duration RECONNECT_TIME = Duration.ofMillis(1100);
 
 	/**
 	 * Age by which a changed configuration must be confirmed. With the timeout of a call,
@@ -31,14 +39,11 @@
 	/** Part of the limit on applying a configuration for which changes accumulate. */
 	private static final int CONFIGURATION_BATCH_DIVISOR = 8;
 
-	/**
-	 * Maximum timeout of a watch of upstreams. An outage that cuts a watch silently is
-	 * noticed only after it.
-	 */
-	private static final Duration MAX_UPSTREAM_TIMEOUT = Duration.ofMillis(6000);
+	/** Maximum timeout of a watch of crash events, which no limit depends on. */
+	private static final Duration MAX_CRASH_EVENT_TIMEOUT = Duration.ofMillis(6000);
 
 	/** Part of the limits on leaving upstreams that is left to calls and decisions. */
-	private static final Duration UPSTREAM_TIMEOUT_MARGIN = Duration.ofMillis(1000);
+	private static final Duration CRASH_EVENT_TIMEOUT_MARGIN = Duration.ofMillis(1000);
 
 	private static final Duration MIN_UPSTREAM_BATCH_DELAY = Duration.ofMillis(250);
 
@@ -61,26 +66,32 @@
 
 	// Returns the timing for the configuration in a fleet of daemons.
 	static WatchTiming ofConfiguration(PropagationLimits limits, int daemonCount) {
-		return new WatchTiming(CONFIGURATION_TIMEOUT, CONFIGURATION_CONFIRMATION_AGE,
-				batchDelay(MIN_CONFIGURATION_BATCH_DELAY, limits.configuration().dividedBy(CONFIGURATION_BATCH_DIVISOR),
-						daemonCount));
+		Duration batchDelay = batchDelay(MIN_CONFIGURATION_BATCH_DELAY,
+				limits.configuration().dividedBy(CONFIGURATION_BATCH_DIVISOR), daemonCount);
+		return new WatchTiming(watchTimeout(limits, batchDelay), CONFIGURATION_CONFIRMATION_AGE, batchDelay);
 	}
 
-	// Returns the timing for upstreams in a fleet of daemons. A connection that goes
-	// silent suspends the limit on leaving upstreams for the contact time; the timeout of
-	// the watch detects this within the sum of both.
+	// Returns the timing for upstreams in a fleet of daemons.
 	static WatchTiming ofUpstreams(PropagationLimits limits, int daemonCount) {
-		Duration detection = limits.drain().plus(limits.contact()).minus(UPSTREAM_TIMEOUT_MARGIN);
-		Duration timeout = min(detection, MAX_UPSTREAM_TIMEOUT);
-		return new WatchTiming(timeout, timeout.multipliedBy(2),
-				batchDelay(MIN_UPSTREAM_BATCH_DELAY, limits.drain().dividedBy(UPSTREAM_BATCH_DIVISOR), daemonCount));
+		Duration batchDelay = batchDelay(MIN_UPSTREAM_BATCH_DELAY, limits.drain().dividedBy(UPSTREAM_BATCH_DIVISOR),
+				daemonCount);
+		Duration timeout = watchTimeout(limits, batchDelay);
+		return new WatchTiming(timeout, timeout.multipliedBy(2), batchDelay);
 	}
 
 	// Returns the timing for events about requests that crash engines. They are rare, and
 	// each moment of delay may cost an engine, so the pause does not grow with the fleet.
 	static WatchTiming ofCrashEvents(PropagationLimits limits) {
-		WatchTiming upstreams = ofUpstreams(limits, 1);
-		return new WatchTiming(upstreams.watchTimeout(), upstreams.maxConfirmationAge(), CRASH_EVENT_BATCH_DELAY);
+		Duration timeout = min(limits.drain().plus(limits.contact()).minus(CRASH_EVENT_TIMEOUT_MARGIN),
+				MAX_CRASH_EVENT_TIMEOUT);
+		return new WatchTiming(timeout, timeout.multipliedBy(2), CRASH_EVENT_BATCH_DELAY);
+	}
+
+	// The limits do not apply until the contact time after connections have gone silent.
+	// A watch that begins after the pause for changes is noticed to be silent, and
+	// replaced, within that time.
+	private static Duration watchTimeout(PropagationLimits limits, Duration batchDelay) {
+		return min(limits.contact().minus(RECONNECT_TIME).minus(batchDelay), MAX_TIMEOUT);
 	}
 
 	private static Duration batchDelay(Duration minimum, Duration maximum, int daemonCount) {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/WatchTimingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/WatchTimingTest.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -16,6 +18,9 @@
 
 	private static final PropagationLimits LARGE_FLEET = limits(4000, 4000, 5000);
 
+	/** Time after the end of a watch's wait by which its call fails. */
+	private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
+
 	private static PropagationLimits limits(long drainMillis, long configurationMillis, long contactMillis) {
 		return new PropagationLimits(Duration.ofMillis(drainMillis), Duration.ofMillis(configurationMillis),
 				Duration.ofMillis(contactMillis));
@@ -38,11 +43,21 @@
 		assertThat(WatchTiming.ofConfiguration(SMALL_FLEET, 330).batchDelay()).isEqualTo(Duration.ofMillis(250));
 	}
 
-	/** Fails if a watch that went silent is noticed after the limits on leaving. */
-	@Test
-	void noticesSilentWatchWithinLimits() {
-		assertThat(WatchTiming.ofUpstreams(SMALL_FLEET, 5).watchTimeout()).isEqualTo(Duration.ofMillis(4000));
-		assertThat(WatchTiming.ofUpstreams(LARGE_FLEET, 5).watchTimeout()).isEqualTo(Duration.ofMillis(6000));
+	/**
+	 * Fails if a connection that went silent keeps a daemon from changes for longer than
+	 * the contact time, during which the limits do not apply. The watch begins after the
+	 * pause for changes, and its call fails 0.8 s after the end of its wait.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "2000, 3000, 5", "3000, 4000, 24", "3000, 4000, 30", "4000, 5000, 38", "4000, 5000, 330" })
+	void noticesSilentWatchWithinContactTime(long limitMillis, long contactMillis, int daemonCount) {
+		PropagationLimits limits = limits(limitMillis, limitMillis, contactMillis);
+		assertThat(detectionMillis(WatchTiming.ofUpstreams(limits, daemonCount))).isLessThan(contactMillis);
+		assertThat(detectionMillis(WatchTiming.ofConfiguration(limits, daemonCount))).isLessThan(contactMillis);
+	}
+
+	private static long detectionMillis(WatchTiming timing) {
+		return timing.batchDelay().plus(timing.watchTimeout()).plus(CALL_TIMEOUT).toMillis();
 	}
 
 }
