Distinguish a lost connection to the store from an outage

Cause: each failed call counted as an outage, around which removed entries are kept for two seconds so that live upstreams can register again. Fix: a call that lost its connection is followed by one on another connection without a pause. A response within 0.3 s shows that the store was available; otherwise it is an outage, as before. Removals stay postponed until then. Evidence: KindWatcherTest#lostConnectionIsReplacedAtOnce failed on the code before ("wait for recovery" in place of the next watch).

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashEventSharing.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashEventSharing.java
@@ -227,6 +227,11 @@
 		// The watch continues where it was interrupted.
 	}
 
+	@Override
+	public void onConnectionReplaced() {
+		// The watch continues where it was interrupted.
+	}
+
 	@Override
 	public void close() {
 		this.closed.countDown();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -286,6 +286,12 @@
 				.markStoreAvailable(this.kind, Gateway.this.clock.nanos()));
 		}
 
+		@Override
+		public void onConnectionReplaced() {
+			Gateway.this.controlThread
+				.post(() -> Gateway.this.relayControl.directory().markConnectionReplaced(this.kind));
+		}
+
 	}
 
 	/** Posts versions of the configuration to the control thread. */
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindListener.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindListener.java
@@ -28,7 +28,14 @@
 	/** Called when the store becomes unavailable. */
 	void onStoreUnavailable();
 
-	/** Called when the store is available again. */
+	/** Called when the store is available again after an outage. */
 	void onStoreAvailable();
 
+	/**
+	 * Called instead of {@link #onStoreAvailable()} if the store responded at once on
+	 * another connection: only the connection was lost, and the store was available
+	 * throughout.
+	 */
+	void onConnectionReplaced();
+
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -14,6 +14,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.OutcomeUnknownException;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
@@ -46,6 +47,19 @@
 	 */
 	private static final int MAX_RETRY_DELAY_MILLIS = 600;
 
+	/**
+	 * Time within which a call that fails counts as rejected. A later failure means that
+	 * the connection broke or went silent, and is followed by a call on another
+	 * connection without a pause.
+	 */
+	private static final Duration MAX_REJECTION_TIME = Duration.ofMillis(250);
+
+	/**
+	 * Time within which the store responds to a call on another connection if only the
+	 * connection before was lost. A later response means that there was an outage.
+	 */
+	private static final Duration MAX_REPLACEMENT_TIME = Duration.ofMillis(300);
+
 	/** Minimum timeout of a watch while the store is available. */
 	private static final Duration MIN_WATCH_TIMEOUT = Duration.ofMillis(300);
 
@@ -83,6 +97,12 @@
 
 	private boolean storeAvailable = true;
 
+	/** Set by a lost connection until the next call has shown whether it is an outage. */
+	private boolean connectionLost;
+
+	/** The monotonic time in nanoseconds at which the last call began. */
+	private long callStartedNanos;
+
 	private ClockReading confirmedAsOf;
 
 	KindWatcher(ObjectStore store, String kind, KindListener listener, Supplier<WatchTiming> timing,
@@ -128,7 +148,7 @@
 	}
 
 	private long list() throws PeerException {
-		ClockReading sentAt = ClockReading.now(this.clock);
+		ClockReading sentAt = startCall();
 		ObjectPage all = listAll(this.store, this.kind);
 		recordSuccess();
 		this.confirmedAsOf = sentAt;
@@ -151,7 +171,7 @@
 	}
 
 	private WatchResult watch(long revision) throws PeerException {
-		ClockReading sentAt = ClockReading.now(this.clock);
+		ClockReading sentAt = startCall();
 		Duration timeout = nextWatchTimeout();
 		WatchResult result = this.store.watch(Set.of(this.kind), revision, timeout);
 		recordSuccess();
@@ -172,6 +192,16 @@
 		return result;
 	}
 
+	private ClockReading startCall() {
+		ClockReading now = ClockReading.now(this.clock);
+		this.callStartedNanos = now.monotonicNanos();
+		return now;
+	}
+
+	private boolean isCallOlderThan(Duration age) {
+		return this.clock.nanos() - this.callStartedNanos >= age.toNanos();
+	}
+
 	private Duration nextWatchTimeout() {
 		if (!this.storeAvailable) {
 			return UNAVAILABLE_WATCH_TIMEOUT;
@@ -185,25 +215,39 @@
 	}
 
 	private void recordSuccess() {
-		if (!this.storeAvailable) {
-			setStoreAvailable(true);
-			this.listener.onStoreAvailable();
-			logger.atInfo().addKeyValue("kind", this.kind).log("store is available again");
+		if (this.storeAvailable) {
+			return;
 		}
+		setStoreAvailable(true);
+		boolean onlyConnectionLost = this.connectionLost && !isCallOlderThan(MAX_REPLACEMENT_TIME);
+		this.connectionLost = false;
+		if (onlyConnectionLost) {
+			this.listener.onConnectionReplaced();
+			logger.atInfo().addKeyValue("kind", this.kind).log("connection to the store was replaced");
+			return;
+		}
+		this.listener.onStoreAvailable();
+		logger.atInfo().addKeyValue("kind", this.kind).log("store is available again");
 	}
 
 	private void recordFailure(PeerException cause) {
 		if (isClosed()) {
 			return;
 		}
+		this.connectionLost = this.storeAvailable && cause instanceof OutcomeUnknownException
+				&& isCallOlderThan(MAX_REJECTION_TIME);
 		if (this.storeAvailable) {
 			setStoreAvailable(false);
 			this.listener.onStoreUnavailable();
 			logger.atWarn()
 				.addKeyValue("kind", this.kind)
+				.addKeyValue("connection_lost", this.connectionLost)
 				.addKeyValue("cause", cause.toString())
 				.log("store is unavailable");
 		}
+		if (this.connectionLost) {
+			return;
+		}
 		pause(this.random.nextInt(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS));
 		this.recoveryWait.run();
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -53,6 +53,11 @@
 		this.availableSinceNanos = OptionalLong.of(nowNanos);
 	}
 
+	// Takes back that the store was unavailable: only a connection to it was lost.
+	void markConnectionReplaced(String kind) {
+		this.unavailableKinds.remove(kind);
+	}
+
 	boolean isStoreAvailable() {
 		return this.unavailableKinds.isEmpty();
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -14,6 +14,7 @@
 
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.NotRunException;
+import org.mulberrycross.OutcomeUnknownException;
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
@@ -32,11 +33,17 @@
 
 	private static final int POLL_TIMEOUT_SECONDS = 10;
 
+	/** Longer than the time within which a failure counts as a rejection. */
+	private static final int LOST_AFTER_MILLIS = 300;
+
 	private static final String UNUSABLE = "unusable";
 
 	private static final WatchTiming TIMING = new WatchTiming(Duration.ofMillis(4000), Duration.ofDays(1),
 			Duration.ofMillis(1));
 
+	/** Stands for a call that loses its connection after a while. */
+	private static final WatchResult LOST_CONNECTION = new WatchResult(-1, List.of(), false);
+
 	private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
 
 	private final BlockingQueue<String> notifications = new LinkedBlockingQueue<>();
@@ -79,6 +86,44 @@
 		}
 	}
 
+	/**
+	 * Fails if a connection that breaks while the store is available is followed by a
+	 * pause, or counts as an outage of the store, so that removed upstreams get requests
+	 * for two more seconds.
+	 */
+	@Test
+	void lostConnectionIsReplacedAtOnce() throws Exception {
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(LOST_CONNECTION, result(7, false, "a")));
+		try (KindWatcher watcher = newWatcher(results)) {
+			watcher.start();
+			assertThat(poll(this.calls)).isEqualTo("list");
+			assertThat(poll(this.calls)).isEqualTo("watch 5 for 4000");
+			assertThat(poll(this.calls)).isEqualTo("watch 5 for 100");
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			assertThat(poll(this.notifications)).isEqualTo("unavailable");
+			assertThat(poll(this.notifications)).isEqualTo("connection replaced");
+			assertThat(poll(this.notifications)).isEqualTo("changed 1");
+		}
+	}
+
+	/**
+	 * Fails if an outage is taken for a lost connection, so that entries which lapsed
+	 * during it are removed before their upstreams could register again.
+	 */
+	@Test
+	void secondFailureIsAnOutage() throws Exception {
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(
+				List.of(LOST_CONNECTION, LOST_CONNECTION, result(7, false, "a")));
+		try (KindWatcher watcher = newWatcher(results)) {
+			watcher.start();
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			assertThat(poll(this.notifications)).isEqualTo("unavailable");
+			assertThat(poll(this.notifications)).isEqualTo("available");
+			assertThat(poll(this.notifications)).isEqualTo("changed 1");
+			assertThat(this.calls).contains("wait for recovery");
+		}
+	}
+
 	/**
 	 * Fails if keys become too old to be accepted because a watch that returned changes
 	 * is followed by one with the full timeout.
@@ -150,6 +195,10 @@
 				if (result.revision() == 0) {
 					throw new NotRunException(Step.WATCH, new Peer(Peer.Kind.PLATFORM, ""), "no answer");
 				}
+				if (result == LOST_CONNECTION) {
+					TimeUnit.MILLISECONDS.sleep(LOST_AFTER_MILLIS);
+					throw new OutcomeUnknownException(Step.WATCH, new Peer(Peer.Kind.PLATFORM, ""), "closed", null);
+				}
 				return result;
 			}
 			catch (InterruptedException ex) {
@@ -205,6 +254,11 @@
 			KindWatcherTest.this.notifications.add("available");
 		}
 
+		@Override
+		public void onConnectionReplaced() {
+			KindWatcherTest.this.notifications.add("connection replaced");
+		}
+
 	}
 
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
@@ -119,6 +119,23 @@
 		assertThat(eligibleIds()).isEmpty();
 	}
 
+	/**
+	 * Fails if an upstream that is removed after a lost connection to the store gets
+	 * requests for two more seconds, although the store was available throughout.
+	 */
+	@Test
+	void removesEntryAtOnceAfterLostConnection() {
+		this.directory.put(entry("a", false));
+		this.directory.put(entry("b", false));
+		this.directory.markStoreUnavailable("a-kind");
+		this.directory.remove("a", 10 * NANOS_PER_SECOND);
+		assertThat(eligibleIds()).containsExactly("a", "b");
+		this.directory.markConnectionReplaced("a-kind");
+		this.directory.remove("b", 10 * NANOS_PER_SECOND);
+		this.directory.removeExpired(10 * NANOS_PER_SECOND);
+		assertThat(eligibleIds()).isEmpty();
+	}
+
 	/**
 	 * Fails if an entry that is removed shortly after an outage is kept for longer than
 	 * upstreams take to register again after it.
