--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -17,12 +18,16 @@
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+	private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
+
 	private static final byte[] EMPTY = {};
 
 	private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
 
 	private OptionalLong lastId;
 
+	private boolean unnumberedData;
+
 	private boolean sequenceGap;
 
 	private boolean invalidEvent;
@@ -52,7 +57,9 @@
 				this.invalidEvent = true;
 				break;
 			}
-			if (advanceTo(parseId(bytes, start, end))) {
+			OptionalLong id = parseId(bytes, start, end);
+			this.unnumberedData |= id.isEmpty() && hasField(bytes, start, end, DATA_FIELD);
+			if (advanceTo(id)) {
 				complete.write(bytes, start, end - start);
 			}
 			start = end;
@@ -98,6 +105,15 @@
 		return this.lastId;
 	}
 
+	/**
+	 * Returns whether the client has data of an event without a numeric id. Another
+	 * engine cannot go on after such an event, since it would send the data again.
+	 * @return true if this stream cannot be resumed
+	 */
+	public boolean hasUnnumberedData() {
+		return this.unnumberedData;
+	}
+
 	/**
 	 * Returns whether an event is missing.
 	 * @return true if an event arrived whose id is higher than the next expected one
@@ -164,23 +180,33 @@
 		return -1;
 	}
 
+	private static boolean hasField(byte[] bytes, int start, int end, byte[] field) {
+		return fieldValue(bytes, start, end, field).isPresent();
+	}
+
 	// Returns the numeric id of the event between two indexes, or empty if it has none.
 	private static OptionalLong parseId(byte[] bytes, int start, int end) {
+		Optional<String> id = fieldValue(bytes, start, end, ID_FIELD);
+		return id.isPresent() ? parseNumber(id.get()) : OptionalLong.empty();
+	}
+
+	// Returns the value of the first field that starts with a name and a colon.
+	private static Optional<String> fieldValue(byte[] bytes, int start, int end, byte[] field) {
 		int lineStart = start;
 		while (lineStart < end) {
 			int lineEnd = lineStart;
 			while (lineEnd < end && bytes[lineEnd] != '\n') {
 				lineEnd++;
 			}
-			if (lineEnd - lineStart > ID_FIELD.length
-					&& Arrays.equals(bytes, lineStart, lineStart + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length)) {
-				return parseNumber(new String(bytes, lineStart + ID_FIELD.length, lineEnd - lineStart - ID_FIELD.length,
+			if (lineEnd - lineStart >= field.length
+					&& Arrays.equals(bytes, lineStart, lineStart + field.length, field, 0, field.length)) {
+				return Optional.of(new String(bytes, lineStart + field.length, lineEnd - lineStart - field.length,
 						StandardCharsets.US_ASCII)
 					.trim());
 			}
 			lineStart = lineEnd + 1;
 		}
-		return OptionalLong.empty();
+		return Optional.empty();
 	}
 
 	private static OptionalLong parseNumber(String text) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -452,8 +452,8 @@
 	// Takes a retry from the budget. Returns empty on success, or the reason why the
 	// request must not be retried.
 	private Optional<String> acquireRetry(RelayExchange exchange) {
-		if (exchange.isResponseStarted() && !exchange.isStream()) {
-			return Optional.of("the response has already started");
+		if (!exchange.isResumable()) {
+			return Optional.of("the response has already started and cannot be resumed");
 		}
 		if (exchange.attempts() >= MAX_ATTEMPTS) {
 			return Optional.of("the maximum number of attempts is reached");
@@ -510,7 +510,7 @@
 	// request, so without a possible retry the attempt continues.
 	private boolean mayRetry(RelayExchange exchange) {
 		return exchange.rule().isRetryable() && exchange.executions() < exchange.rule().maxExecutions()
-				&& exchange.attempts() < MAX_ATTEMPTS
+				&& exchange.attempts() < MAX_ATTEMPTS && exchange.isResumable()
 				&& this.retryBudgets.hasRetry(exchange.rule(), this.clock.nanos());
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -195,6 +195,13 @@
 		return this.responseStarted;
 	}
 
+	// Returns whether another attempt may go on with the response: nothing was sent to
+	// the
+	// client yet, or only events after which a stream can be resumed.
+	synchronized boolean isResumable() {
+		return !this.responseStarted || (isStream() && !this.eventStream.hasUnnumberedData());
+	}
+
 	// Returns when the first part of the response was sent to the client, 0 if none was.
 	long firstDataNanos() {
 		return this.firstDataNanos;
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -102,4 +103,17 @@
 		assertThat(stream.hasSequenceGap()).isTrue();
 	}
 
+	/**
+	 * Fails if a stream is resumed after data without an id that a number can hold, so
+	 * that the client gets the data once more.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "'id: 1\ndata: a\n\n', false", "': wait\n\n', false", "'retry: 10\n\n', false", "'data: a\n\n', true",
+			"'id: 99999999999999999999\ndata: a\n\n', true", "'id: x\ndata: a\n\n', true" })
+	void dataWithoutIdCannotBeResumed(String event, boolean unnumbered) {
+		EventStream stream = new EventStream(OptionalLong.empty());
+		stream.extractEvents(bytes(event));
+		assertThat(stream.hasUnnumberedData()).isEqualTo(unnumbered);
+	}
+
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayExchangeTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayExchangeTest.java
@@ -12,6 +12,9 @@
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.UpstreamInstance;
 import org.mulberrycross.caller.ClientCall;
+import org.mulberrycross.caller.RouteKind;
+import org.mulberrycross.caller.RouteRule;
+import org.mulberrycross.caller.WeightedService;
 import org.mulberrycross.engine.RequestTokens;
 import org.mulberrycross.http.Headers;
 import org.mulberrycross.http.RelayRequest;
@@ -80,4 +83,23 @@
 		assertThat(this.writer.written()).containsExactly("start 200", "write").inOrder();
 	}
 
+	/**
+	 * Fails if another attempt goes on after data without an id, which the client would
+	 * get once more.
+	 */
+	@Test
+	void streamWithUnnumberedDataIsNotResumed() {
+		this.exchange.admit(streamRule(), Optional.empty());
+		RelayAttempt attempt = startAttempt();
+		this.exchange.forwardEvents(attempt, HEAD, EVENT);
+		assertThat(this.exchange.isResumable()).isTrue();
+		this.exchange.forwardEvents(attempt, HEAD, "data: b\n\n".getBytes(StandardCharsets.UTF_8));
+		assertThat(this.exchange.isResumable()).isFalse();
+	}
+
+	private static RouteRule streamRule() {
+		return new RouteRule("r", "host", "/", RouteKind.STREAM, Duration.ofSeconds(1), Duration.ofSeconds(1), 2, 0,
+				true, false, List.of(new WeightedService("s", 1)));
+	}
+
 }
