Limit incomplete events of all streams, comments and replies of engines

Cause: the heap was exhausted (47 OutOfMemoryError lines). An incomplete event could have 256 KiB, with no limit on all together, and each part copied it. A reply of an engine to a call could have 16 MiB. Comments were read until the timeout.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
@@ -14,7 +14,7 @@
 public final class EventStream {
 
 	/** Maximum size of an event; those of engines have some hundred bytes. */
-	public static final int MAX_EVENT_BYTES = 256 << 10;
+	public static final int MAX_EVENT_BYTES = 64 << 10;
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
@@ -22,7 +22,7 @@
 
 	private static final byte[] EMPTY = {};
 
-	private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+	private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
 
 	private OptionalLong lastId;
 
@@ -76,17 +76,17 @@
 	 * and the record of a gap.
 	 */
 	public void dropPartialEvent() {
-		this.buffer.reset();
+		this.buffer = new ByteArrayOutputStream();
 		this.sequenceGap = false;
 		this.invalidEvent = false;
 	}
 
 	/**
-	 * Returns the bytes after the last complete event.
-	 * @return the bytes, empty if the stream ended after a complete event
+	 * Returns the number of bytes after the last complete event.
+	 * @return the number of bytes, 0 if the stream ended after a complete event
 	 */
-	public byte[] remainder() {
-		return this.buffer.toByteArray();
+	public int partialEventBytes() {
+		return this.buffer.size();
 	}
 
 	/**
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpCall.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpCall.java
@@ -22,9 +22,16 @@
  * @param body the body, empty if there is none
  * @param timeout the maximum time until the response is complete, positive
  * @param newConnection whether to open a new connection instead of using a pooled one
+ * @param maxReplyBytes the maximum size of the body of the reply, which is kept in memory
  */
 public record HttpCall(Step step, Peer peer, Address address, String method, String path, Map<String, String> headers,
-		byte[] body, Duration timeout, boolean newConnection) {
+		byte[] body, Duration timeout, boolean newConnection, int maxReplyBytes) {
+
+	/**
+	 * Default maximum size of a reply. A page or the changes of a watch have at most some
+	 * megabytes.
+	 */
+	static final int DEFAULT_MAX_REPLY_BYTES = 16 << 20;
 
 	private static final byte[] NO_BODY = {};
 
@@ -39,6 +46,7 @@
 	 * @param body the body, empty if there is none
 	 * @param timeout the maximum time until the response is complete, positive
 	 * @param newConnection whether to open a new connection instead of using a pooled one
+	 * @param maxReplyBytes the maximum size of the body of the reply
 	 */
 	public HttpCall {
 		Objects.requireNonNull(step, "step");
@@ -53,6 +61,24 @@
 		headers = Map.copyOf(headers);
 	}
 
+	/**
+	 * Creates a call with the default limit on its reply. Copies the headers, but not the
+	 * body.
+	 * @param step the step reported in exceptions, not null
+	 * @param peer the peer reported in exceptions, not null
+	 * @param address the address of the server, not null
+	 * @param method the HTTP method, not null
+	 * @param path the path and the query if there is one, not null
+	 * @param headers the headers except Host and Content-Length, not null
+	 * @param body the body, empty if there is none
+	 * @param timeout the maximum time until the response is complete, positive
+	 * @param newConnection whether to open a new connection instead of using a pooled one
+	 */
+	public HttpCall(Step step, Peer peer, Address address, String method, String path, Map<String, String> headers,
+			byte[] body, Duration timeout, boolean newConnection) {
+		this(step, peer, address, method, path, headers, body, timeout, newConnection, DEFAULT_MAX_REPLY_BYTES);
+	}
+
 	/**
 	 * Creates a GET request without headers that uses a pooled connection.
 	 * @param step the step reported in exceptions
@@ -91,7 +117,7 @@
 		Map<String, String> newHeaders = new LinkedHashMap<>(this.headers);
 		newHeaders.put(name, value);
 		return new HttpCall(this.step, this.peer, this.address, this.method, this.path, newHeaders, this.body,
-				this.timeout, this.newConnection);
+				this.timeout, this.newConnection, this.maxReplyBytes);
 	}
 
 	/**
@@ -100,7 +126,17 @@
 	 */
 	public HttpCall withNewConnection() {
 		return new HttpCall(this.step, this.peer, this.address, this.method, this.path, this.headers, this.body,
-				this.timeout, true);
+				this.timeout, true, this.maxReplyBytes);
+	}
+
+	/**
+	 * Returns a copy of this call with another limit on its reply.
+	 * @param bytes the maximum size of the body of the reply
+	 * @return the new call
+	 */
+	public HttpCall withMaxReplyBytes(int bytes) {
+		return new HttpCall(this.step, this.peer, this.address, this.method, this.path, this.headers, this.body,
+				this.timeout, this.newConnection, bytes);
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -111,7 +111,7 @@
 		Objects.requireNonNull(listener, "listener");
 		long deadlineNanos = System.nanoTime() + call.timeout().toNanos();
 		Connection<?> connection = connect(call);
-		HttpExchange exchange = new HttpExchange(listener);
+		HttpExchange exchange = new HttpExchange(listener, call.maxReplyBytes());
 		boolean reusable = false;
 		try {
 			HttpReply reply = execute(connection, call, exchange, deadlineNanos);
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchange.java
@@ -17,14 +17,10 @@
  */
 final class HttpExchange {
 
-	/**
-	 * Maximum size of a reply. A page or the changes of a watch have at most some
-	 * megabytes.
-	 */
-	static final int MAX_REPLY_BYTES = 16 << 20;
-
 	private final BodyListener listener;
 
+	private final int maxReplyBytes;
+
 	private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -32,8 +28,9 @@
 	/** Whether the server leaves the connection open; set with the complete reply. */
 	private volatile boolean keepAlive;
 
-	HttpExchange(BodyListener listener) {
+	HttpExchange(BodyListener listener, int maxReplyBytes) {
 		this.listener = listener;
+		this.maxReplyBytes = maxReplyBytes;
 	}
 
 	CompletableFuture<HttpReply> reply() {
@@ -46,8 +43,8 @@
 
 	void handleContent(HttpContent content) {
 		if (content.getContent() != null && content.getContent().hasRemaining()) {
-			if (this.body.size() + content.getContent().remaining() > MAX_REPLY_BYTES) {
-				fail(new IOException("reply is longer than " + MAX_REPLY_BYTES + " bytes"));
+			if (this.body.size() + content.getContent().remaining() > this.maxReplyBytes) {
+				fail(new IOException("reply is longer than " + this.maxReplyBytes + " bytes"));
 				return;
 			}
 			byte[] data = new byte[content.getContent().remaining()];
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -16,6 +16,12 @@
  */
 final class RelayAttempt implements ResponseListener {
 
+	/**
+	 * Maximum number of bytes of a stream without a new event. An upstream in trouble may
+	 * send comments without end; sound ones send some bytes now and then.
+	 */
+	static final int MAX_BYTES_WITHOUT_EVENT = 256 << 10;
+
 	private final RelayExchange exchange;
 
 	private final Forwarding forwarding;
@@ -40,6 +46,8 @@
 
 	private UpstreamResponseHead upstreamHead;
 
+	private int bytesWithoutEvent;
+
 	private boolean closed;
 
 	private boolean prefillDone;
@@ -170,21 +178,32 @@
 			}
 			return;
 		}
-		switch (this.exchange.forwardEvents(this, this.head, part)) {
+		RelayExchange.ForwardingResult result = this.exchange.forwardEvents(this, this.head, part);
+		if (!this.body.holdPartialEvent(this.exchange.partialEventBytes(this))) {
+			abort("incomplete events of all streams take too much memory");
+			return;
+		}
+		switch (result) {
 			case PROGRESS -> {
 				this.begun = true;
+				this.bytesWithoutEvent = 0;
 				recordProgress();
 			}
-			case NO_PROGRESS -> {
-				// Bytes without a new event, such as a comment, do not keep a stalled
-				// stream alive.
-			}
+			case NO_PROGRESS -> countWithoutEvent(part.length);
 			case SEQUENCE_GAP -> abort("an event of the stream is missing");
 			case INVALID_EVENT -> abort("the stream contains something that is not an event");
 			case OVERSIZED_EVENT -> abort("an event of the stream is too long");
 		}
 	}
 
+	// Bytes without a new event, such as a comment, do not keep a stalled stream alive.
+	private void countWithoutEvent(int bytes) {
+		this.bytesWithoutEvent += bytes;
+		if (this.bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) {
+			abort("the stream sends bytes without an event");
+		}
+	}
+
 	private void recordProgress() {
 		boolean first = this.lastDataNanos == 0;
 		this.lastDataNanos = System.nanoTime();
@@ -236,6 +255,7 @@
 	private void abort(String reason) {
 		this.closed = true;
 		cancel();
+		this.exchange.dropPartialEvent(this);
 		this.listener.onAttemptFailed(this, reason);
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -233,13 +233,25 @@
 		return (newId || unnumberedEvent) ? ForwardingResult.PROGRESS : ForwardingResult.NO_PROGRESS;
 	}
 
+	// Returns the size of the incomplete event, 0 if the attempt may not write.
+	synchronized int partialEventBytes(RelayAttempt attempt) {
+		return mayWrite(attempt) ? this.eventStream.partialEventBytes() : 0;
+	}
+
+	// Releases the memory of an incomplete event that will not be completed.
+	synchronized void dropPartialEvent(RelayAttempt attempt) {
+		if (this.currentAttempt == attempt) {
+			this.eventStream.dropPartialEvent();
+		}
+	}
+
 	// Ends the response if the stream ended with a complete event, and returns whether it
 	// did. Returns true without ending it if the attempt may not write.
 	synchronized boolean endStream(RelayAttempt attempt, ResponseHead head) {
 		if (!mayWrite(attempt)) {
 			return true;
 		}
-		if (this.eventStream.remainder().length > 0) {
+		if (this.eventStream.partialEventBytes() > 0) {
 			return false;
 		}
 		startResponse(new ResponseHead(head.status(), head.headers(), OptionalLong.empty()));
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
@@ -45,7 +45,7 @@
 			start = end;
 		}
 		assertThat(passed.toString()).isEqualTo(all);
-		assertThat(stream.remainder()).isEmpty();
+		assertThat(stream.partialEventBytes()).isEqualTo(0);
 		assertThat(stream.lastId()).isEqualTo(OptionalLong.of(59));
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
@@ -24,6 +24,7 @@
 import org.mulberrycross.Address;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
  * Guards against truncated responses that look complete, and against requests that are
@@ -260,6 +261,40 @@
 		}
 	}
 
+	/**
+	 * Fails if a response that ends within its head, or within its body, is reported as
+	 * complete: clients got a success with an empty or short body, framed as whole.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 OK\r\nEngine-Signature: e\r\nAttempt-Id: 1\r\nContent-Length: 2\r\n\r\nab",
+			"HTTP/1.1 200 OK\nEngine-Signature: e\nContent-Length: 2\n\nab",
+			"HTTP/1.1 200 OK\r\nEngine-Signature: e\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nEngine-Signature: e\r\nX-A: b\r\n\r\n" })
+	void failsResponseCutOffAtAnyByte(String response) throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				RelayClient client = new RelayClient()) {
+			for (int length = 0; length < response.length(); length++) {
+				String part = response.substring(0, length);
+				CompletableFuture<Void> upstream = CompletableFuture.runAsync(() -> respondAtOnce(server, part));
+				client.send(new Address("127.0.0.1", server.getLocalPort()),
+						new RelayRequest("GET", "/", Headers.of(List.of(new HeaderField("Host", "h"))), new byte[0]),
+						new Recorder());
+				assertWithMessage(part).that(this.events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
+				upstream.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			}
+		}
+	}
+
+	private static void respondAtOnce(ServerSocket server, String response) {
+		try (Socket socket = server.accept()) {
+			readUntil(socket, "\r\n\r\n");
+			socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private static void respond(ServerSocket server, String response, boolean reset) {
 		try (Socket socket = server.accept()) {
 			readUntil(socket, "\r\n\r\n");
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
@@ -100,6 +100,62 @@
 		assertThat(this.failures).isEmpty();
 	}
 
+	/**
+	 * Fails if comments without end are read until the route's timeout. 600 such streams
+	 * kept a daemon so busy that it found no time for half of its other requests.
+	 */
+	@Test
+	void failsStreamOfEndlessComments() {
+		RelayAttempt attempt = startAttempt(RouteKind.STREAM);
+		attempt.onData("id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+		byte[] comment = (": " + "a".repeat(1020) + "\n\n").getBytes(StandardCharsets.UTF_8);
+		for (int bytes = 0; bytes <= RelayAttempt.MAX_BYTES_WITHOUT_EVENT; bytes += comment.length) {
+			assertThat(this.failures).isEmpty();
+			attempt.onData(comment);
+		}
+		assertThat(this.failures).containsExactly("the stream sends bytes without an event");
+	}
+
+	/**
+	 * Fails if many events without end, each below its limit, together fill the memory. A
+	 * daemon with 600 such streams ran out of it, and requests of others failed.
+	 */
+	@Test
+	void limitsAllIncompleteEventsTogether() {
+		int possible = ResponseBuffers.MAX_TOTAL_BYTES / EventStream.MAX_EVENT_BYTES;
+		List<RelayAttempt> attempts = new ArrayList<>();
+		for (int i = 0; i < 2 * possible; i++) {
+			attempts.add(startAttempt(RouteKind.STREAM));
+		}
+		for (int bytes = PART_BYTES; bytes <= EventStream.MAX_EVENT_BYTES; bytes += PART_BYTES) {
+			attempts.forEach((attempt) -> attempt.onData(new byte[PART_BYTES]));
+		}
+		assertThat(this.failures.size()).isAtLeast(possible - 1);
+		attempts.forEach(RelayAttempt::cancel);
+		RelayAttempt next = startAttempt(RouteKind.STREAM);
+		this.failures.clear();
+		next.onData(new byte[PART_BYTES]);
+		assertThat(this.failures).isEmpty();
+	}
+
+	/**
+	 * Fails if the response of a sound upstream is lost because others send bytes without
+	 * end.
+	 */
+	@Test
+	void keepsSmallResponsesBesideLargeOnes() {
+		for (int i = 0; i < SERVERS; i++) {
+			RelayAttempt attempt = startAttempt(RouteKind.IDEMPOTENT);
+			for (int bytes = 0; bytes < ResponseBuffers.MAX_BODY_BYTES; bytes += PART_BYTES) {
+				attempt.onData(new byte[PART_BYTES]);
+			}
+		}
+		this.failures.clear();
+		startAttempt(RouteKind.AT_MOST_ONCE).onData(new byte[ResponseBuffers.SMALL_BYTES]);
+		startAttempt(RouteKind.STREAM).onData(new byte[ResponseBuffers.SMALL_BYTES]);
+		assertThat(this.failures).isEmpty();
+	}
+
 	/** Fails if an event without end is received until the memory is full. */
 	@Test
 	void failsStreamWhoseEventDoesNotEnd() {
