Recognize a request that crashes engines by its own content

Cause: crash attribution knew the parts of prompts that requests share only. A request whose own content is at fault was not recognized when its client sent it again under another id, through another daemon. Ruled out: a shared part (it is cleared each time), load of the retries (the first crash had none before). Fix: a digest of the content counts as one more part of the request. The requests of the test's simulation have content of their own now, as those of clients do; its checks are the same.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/CrashAttribution.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/CrashAttribution.java
@@ -15,10 +15,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Finds the parts of prompts that crash engines. A part is suspected after several
- * engines, one after the other, were lost with requests that have it and that they had
- * not begun to answer. An answer that begins clears all parts of its request. Not
- * thread-safe; confined to the control thread.
+ * Finds the parts of prompts, and the whole requests, that crash engines. A part is
+ * suspected after several engines, one after the other, were lost with requests that have
+ * it and that they had not begun to answer. An answer that begins clears all parts of its
+ * request. The fingerprint of a request counts as a part that only the request and its
+ * repetitions have. Not thread-safe; confined to the control thread.
  */
 public final class CrashAttribution {
 
@@ -36,6 +37,17 @@
 	 */
 	private static final int RECENTLY_BEGUN_SUSPECTED_FROM = 3;
 
+	/**
+	 * Number of consecutive losses from which a whole request is suspected, whatever else
+	 * explains them. Callers lose less by one refused request than by a fourth engine.
+	 */
+	private static final int REQUEST_SUSPECTED_REGARDLESS_FROM = 3;
+
+	/**
+	 * Start of the fingerprint of a whole request, which no id of a prompt part has.
+	 */
+	public static final String REQUEST_PREFIX = "request-";
+
 	/**
 	 * Maximum number of parts that explain the same losses equally well. With more of
 	 * them, the engines were probably lost for another reason.
@@ -95,6 +107,14 @@
 
 	private final Map<String, Long> lastBegunNanos = new LinkedHashMap<>();
 
+	/**
+	 * Returns whether any engine was lost with a part that was not cleared since.
+	 * @return false if no request can be suspected and none can be cleared
+	 */
+	public boolean hasSuspects() {
+		return !this.suspects.isEmpty();
+	}
+
 	/**
 	 * Returns the number of consecutive losses by part.
 	 * @param parts the parts, not null
@@ -175,10 +195,15 @@
 	 * Records that an engine began to answer a request.
 	 * @param parts the parts of the request's prompt, not null
 	 * @param nowNanos the monotonic time in nanoseconds
-	 * @return the parts that were cleared of losses, which other daemons should know
+	 * @return the parts that were cleared of losses, which other daemons should know; not
+	 * a whole request after one loss, with which no daemon suspects it
 	 */
 	public List<String> recordBegun(List<String> parts, long nowNanos) {
-		return parts.stream().filter((part) -> markBegun(part, nowNanos)).toList();
+		Map<String, Integer> before = crashCounts(parts);
+		return parts.stream()
+			.filter((part) -> markBegun(part, nowNanos))
+			.filter((part) -> !isRequest(part) || before.get(part) >= SUSPECTED_FROM)
+			.toList();
 	}
 
 	private boolean markBegun(String part, long nowNanos) {
@@ -239,11 +264,17 @@
 	// one of them alone shows which of them it is.
 	private boolean isSuspected(String part, List<String> parts, long nowNanos) {
 		Suspect suspect = this.suspects.get(part);
-		if (suspect == null || suspect.lossesInARow() < SUSPECTED_FROM || !parts.containsAll(suspect.companions)
-				|| suspect.lossesInARow() < threshold(part, suspect, nowNanos)
+		if (suspect == null || suspect.lossesInARow() < SUSPECTED_FROM
 				|| nowNanos - suspect.heldSinceNanos >= RETENTION.toNanos()) {
 			return false;
 		}
+		if (isRequest(part) && suspect.crashCount >= REQUEST_SUSPECTED_REGARDLESS_FROM) {
+			return true;
+		}
+		if (!hasCompanions(part, suspect, parts, nowNanos)
+				|| suspect.lossesInARow() < threshold(part, suspect, nowNanos)) {
+			return false;
+		}
 		int equalExplanations = 0;
 		for (Map.Entry<String, Suspect> other : this.suspects.entrySet()) {
 			// A request with this part has its companions too, and is refused for all.
@@ -251,16 +282,38 @@
 			if (!separate || !other.getValue().engineIds.containsAll(suspect.engineIds)) {
 				continue;
 			}
-			// To refuse requests with the other part is enough if it never was without
-			// this one.
-			if (other.getValue().companions.contains(part) || explainsBetter(other.getKey(), part, nowNanos)) {
+			if (isNarrower(other.getKey(), part, nowNanos) || explainsBetter(other.getKey(), part, nowNanos)) {
 				return false;
 			}
-			equalExplanations += explainsBetter(part, other.getKey(), nowNanos) ? 0 : 1;
+			boolean equal = isRequest(other.getKey()) == isRequest(part)
+					&& !explainsBetter(part, other.getKey(), nowNanos);
+			equalExplanations += equal ? 1 : 0;
 		}
 		return equalExplanations <= MAX_EQUAL_EXPLANATIONS;
 	}
 
+	// Returns whether a request has all that was always lost together with a part. A part
+	// with which no request began is suspected without the one request that had it.
+	private boolean hasCompanions(String part, Suspect suspect, List<String> parts, long nowNanos) {
+		boolean withRequests = isRequest(part) || hasBegunRecently(part, nowNanos);
+		return suspect.companions.stream()
+			.filter((companion) -> withRequests || !isRequest(companion))
+			.allMatch(parts::contains);
+	}
+
+	private static boolean isRequest(String part) {
+		return part.startsWith(REQUEST_PREFIX);
+	}
+
+	// Returns whether to refuse requests with the other part is enough, since it never
+	// was
+	// without this one. A whole request always has its parts, so it speaks only for those
+	// with which others have begun.
+	private boolean isNarrower(String other, String part, long nowNanos) {
+		return this.suspects.get(other).companions.contains(part)
+				&& (!isRequest(other) || isRequest(part) || hasBegunRecently(part, nowNanos));
+	}
+
 	private int threshold(String part, Suspect suspect, long nowNanos) {
 		int base = hasBegunRecently(part, nowNanos) ? RECENTLY_BEGUN_SUSPECTED_FROM : SUSPECTED_FROM;
 		long otherLosses = this.lostEngineNanos.entrySet()
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashTracker.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashTracker.java
@@ -85,13 +85,13 @@
 
 	// Returns whether a request is likely to crash an engine.
 	boolean isSuspected(RelayExchange exchange, long nowNanos) {
-		return this.attribution.suspicion(exchange.call().sharedPromptParts(), nowNanos).isPresent();
+		return this.attribution.suspicion(parts(exchange), nowNanos).isPresent();
 	}
 
 	// Returns the response to a request that is likely to crash an engine, or empty if it
 	// may be sent.
 	Optional<LocalResponse> refuse(RelayExchange exchange, long nowNanos) {
-		Optional<CrashSuspicion> suspicion = this.attribution.suspicion(exchange.call().sharedPromptParts(), nowNanos);
+		Optional<CrashSuspicion> suspicion = this.attribution.suspicion(parts(exchange), nowNanos);
 		if (suspicion.isEmpty()) {
 			return Optional.empty();
 		}
@@ -105,8 +105,12 @@
 		}
 		this.metrics.countSuspected();
 		Duration retryAfter = found.isTrialDue() ? RETRY_AFTER_TRIAL : found.untilTrial();
-		return Optional.of(LocalResponse.notExecuted(retryAfter, "part " + found.part() + " of the prompt crashed "
-				+ found.crashCount() + " engines one after the other"));
+		return Optional.of(LocalResponse.notExecuted(retryAfter,
+				describe(found.part()) + " crashed " + found.crashCount() + " engines one after the other"));
+	}
+
+	private static String describe(String part) {
+		return part.startsWith(CrashAttribution.REQUEST_PREFIX) ? "this request" : "part " + part + " of the prompt";
 	}
 
 	// A permit ends when the next trial is due, or with the next loss.
@@ -133,11 +137,11 @@
 
 	// Returns how many engines were lost in a row with the parts of a request.
 	Map<String, Integer> crashCounts(RelayExchange exchange) {
-		return this.attribution.crashCounts(exchange.call().sharedPromptParts());
+		return this.attribution.crashCounts(parts(exchange));
 	}
 
 	void recordBegun(RelayAttempt attempt, long nowNanos) {
-		this.attribution.recordBegun(attempt.exchange().call().sharedPromptParts(), nowNanos)
+		this.attribution.recordBegun(parts(attempt.exchange()), nowNanos)
 			.forEach((part) -> this.publisher.publish(new CrashEvent.PartBegun(part), (published) -> {
 			}));
 	}
@@ -171,8 +175,7 @@
 	// stream has begun before.
 	private static boolean mayCrashEngine(RelayAttempt attempt) {
 		RelayExchange exchange = attempt.exchange();
-		return !attempt.hasBegun() && !exchange.isResponseStarted() && exchange.call().lastEventId().isEmpty()
-				&& !exchange.call().sharedPromptParts().isEmpty();
+		return !attempt.hasBegun() && !exchange.isResponseStarted() && exchange.call().lastEventId().isEmpty();
 	}
 
 	// Attempts that fail while the engine is checked share the result.
@@ -208,12 +211,24 @@
 		}));
 	}
 
+	// Returns what may be suspected of a request: the parts of its prompt that others
+	// share and, unless nothing is suspected, the fingerprint of the whole.
+	private List<String> parts(RelayExchange exchange) {
+		return this.attribution.hasSuspects() ? allParts(exchange) : exchange.call().sharedPromptParts();
+	}
+
+	private static List<String> allParts(RelayExchange exchange) {
+		List<String> parts = new ArrayList<>(exchange.call().sharedPromptParts());
+		parts.add(exchange.fingerprint());
+		return parts;
+	}
+
 	// Numbers the loss by those known when the attempt was sent, so that engines lost at
 	// the same time count once. A retry was sent after the losses of its own request.
 	private CrashCandidate candidate(RelayAttempt attempt) {
 		RelayExchange exchange = attempt.exchange();
 		Map<String, Integer> numbers = new HashMap<>();
-		exchange.call().sharedPromptParts().forEach((part) -> {
+		allParts(exchange).forEach((part) -> {
 			boolean clearedSince = exchange.engineLosses() > 0
 					&& this.attribution.hasBegunSince(part, exchange.firstEngineLossNanos());
 			int ownLosses = clearedSince ? 0 : exchange.engineLosses();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -38,6 +38,8 @@
 
 	private final Set<String> suspectedUpstreams = new HashSet<>();
 
+	private String fingerprint;
+
 	private RouteRule rule;
 
 	private Optional<String> team = Optional.empty();
@@ -75,6 +77,16 @@
 		return this.request;
 	}
 
+	// Returns what a repetition of this request by its client has in common with it,
+	// whatever its id: a digest of method, host, target and body. Computed at the first
+	// call.
+	String fingerprint() {
+		if (this.fingerprint == null) {
+			this.fingerprint = RequestFingerprint.of(this.call.host(), this.request);
+		}
+		return this.fingerprint;
+	}
+
 	ClientCall call() {
 		return this.call;
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/CrashTrackerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/CrashTrackerTest.java
@@ -1,5 +1,6 @@
 package org.mulberrycross.router.relay;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -51,6 +52,13 @@
 
 	private static final long DOWN_MILLIS = 3300;
 
+	private static final String DEADLY_PREFIX = "deadly ";
+
+	private static final long DEADLY_CLIENTS_MILLIS = 12_000;
+
+	/** Time after which an event has reached all daemons. */
+	private static final long DELIVERY_MILLIS = 110;
+
 	private static final int FREE_CRASHES = 5;
 
 	private static final int MAX_DEADLY_REQUESTS_LATER = 3;
@@ -96,6 +104,24 @@
 		playEngineCrashes(seed, daemons, engines, requestsPerSecond, crashesPerSecond);
 	}
 
+	/**
+	 * Pattern: single requests crash each engine that begins to answer them, and their
+	 * clients send them again and again under other ids to any daemon. Fails if such a
+	 * request is sent to engines once three were lost with it, or if the requests that
+	 * were lost with the same engines are refused.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 5, 3, 80, 1", "2, 5, 3, 80, 1", "3, 5, 4, 60, 2", "4, 24, 9, 200, 2", "5, 38, 20, 300, 3",
+			"6, 5, 3, 20, 2", "7, 24, 9, 200, 1" })
+	void stopsDeadlyRequest(long seed, int daemons, int engines, int requestsPerSecond, int deadlyRequests) {
+		Simulation run = new Simulation(seed, daemons, engines, requestsPerSecond, 0, 0);
+		run.startDeadlyRequests(deadlyRequests);
+		run.play();
+		assertThat(run.crashMillis).isNotEmpty();
+		assertThat(run.deadlySentAfterThreeLosses).isEqualTo(0);
+		assertThat(run.refused).isEqualTo(0);
+	}
+
 	private static void playEngineCrashes(long seed, int daemons, int engines, int requestsPerSecond,
 			double crashesPerSecond) {
 		Simulation run = new Simulation(seed, daemons, engines, requestsPerSecond, 0, crashesPerSecond);
@@ -141,6 +167,15 @@
 
 		private int companionsRefusedLater;
 
+		/** The losses with each deadly request, by its content. */
+		private final Map<String, List<Long>> lossesByContent = new HashMap<>();
+
+		/** When clients send deadly requests again. */
+		private final PriorityQueue<Repetition> repetitions = new PriorityQueue<>(
+				(left, right) -> Long.compare(left.atMillis(), right.atMillis()));
+
+		private int deadlySentAfterThreeLosses;
+
 		private Simulation(long seed, int daemonCount, int engineCount, int requestsPerSecond, double deadlyShare,
 				double crashesPerSecond) {
 			this.random = new SplittableRandom(seed);
@@ -192,23 +227,42 @@
 					crash("e" + this.random.nextInt(this.engines.size()));
 				}
 				beginAnswers();
+				sendDeadlyRequests();
 				if (this.random.nextDouble() < this.requestsPerSecond / 1000.0) {
 					arrive();
 				}
 			}
 		}
 
+		private void startDeadlyRequests(int count) {
+			for (int i = 0; i < count; i++) {
+				this.repetitions.add(new Repetition(FAULT_START_MILLIS + 700L * i, DEADLY_PREFIX + i));
+			}
+		}
+
+		private void sendDeadlyRequests() {
+			while (!this.repetitions.isEmpty() && this.repetitions.peek().atMillis() <= this.nowMillis) {
+				Repetition due = this.repetitions.remove();
+				if (this.nowMillis < FAULT_START_MILLIS + DEADLY_CLIENTS_MILLIS) {
+					this.repetitions
+						.add(new Repetition(this.nowMillis + 300 + this.random.nextInt(400), due.content()));
+				}
+				this.requests++;
+				CrashTracker daemon = this.daemons.get(this.random.nextInt(this.daemons.size()));
+				RelayExchange exchange = newExchange(due.content(), List.of("s0"));
+				if (daemon.refuse(exchange, this.nowMillis * MILLI).isEmpty()) {
+					send(daemon, exchange, Optional.empty());
+				}
+			}
+		}
+
 		private void arrive() {
 			this.requests++;
 			boolean deadly = this.nowMillis >= FAULT_START_MILLIS && this.random.nextDouble() < this.deadlyShare;
 			List<String> parts = deadly ? List.of("s0", "dead")
 					: List.of("s" + (int) (SHARED_PARTS * Math.pow(this.random.nextDouble(), 2)));
 			CrashTracker daemon = this.daemons.get(this.random.nextInt(this.daemons.size()));
-			RelayExchange exchange = new RelayExchange(
-					new RelayRequest("POST", "/", Headers.of(List.of()), new byte[0]),
-					new ClientCall("r" + this.requests, "host", "/", Optional.empty(), Optional.empty(), 1, 1,
-							OptionalLong.empty(), parts),
-					new RecordingWriter(), new ClockReading(this.nowMillis * MILLI, 0));
+			RelayExchange exchange = newExchange("content " + this.requests, parts);
 			if (daemon.refuse(exchange, this.nowMillis * MILLI).isPresent()) {
 				this.refused++;
 				if (!deadly && parts.contains("s0") && this.nowMillis > settledMillis(2 * CONTACT_MILLIS)) {
@@ -219,6 +273,15 @@
 			send(daemon, exchange, Optional.empty());
 		}
 
+		// Each client sends content of its own; only a repetition has the same.
+		private RelayExchange newExchange(String content, List<String> parts) {
+			return new RelayExchange(
+					new RelayRequest("POST", "/", Headers.of(List.of()), content.getBytes(StandardCharsets.UTF_8)),
+					new ClientCall("r" + this.requests, "host", "/", Optional.empty(), Optional.empty(), 1, 1,
+							OptionalLong.empty(), parts),
+					new RecordingWriter(), new ClockReading(this.nowMillis * MILLI, 0));
+		}
+
 		// Returns the time after the fifth crash, or after the last if there are fewer.
 		private long settledMillis(long afterMillis) {
 			int count = Math.min(FREE_CRASHES, this.crashMillis.size());
@@ -243,6 +306,10 @@
 			attempt.setCrashCounts(daemon.crashCounts(exchange));
 			exchange.startAttempt(attempt);
 			attempt.onRequestStarted();
+			List<Long> losses = this.lossesByContent.getOrDefault(content(exchange), List.of());
+			if (losses.size() >= 3 && this.nowMillis > losses.get(2) + DELIVERY_MILLIS) {
+				this.deadlySentAfterThreeLosses++;
+			}
 			if (isDeadly(exchange) && this.crashMillis.size() >= FREE_CRASHES
 					&& this.nowMillis > settledMillis(CONTACT_MILLIS)) {
 				this.deadlyRequestsLater++;
@@ -252,7 +319,11 @@
 		}
 
 		private static boolean isDeadly(RelayExchange exchange) {
-			return exchange.call().sharedPromptParts().contains("dead");
+			return exchange.call().sharedPromptParts().contains("dead") || content(exchange).startsWith(DEADLY_PREFIX);
+		}
+
+		private static String content(RelayExchange exchange) {
+			return new String(exchange.request().body(), StandardCharsets.UTF_8);
 		}
 
 		private void beginAnswers() {
@@ -261,6 +332,8 @@
 					continue;
 				}
 				if (isDeadly(request.exchange())) {
+					this.lossesByContent.computeIfAbsent(content(request.exchange()), (key) -> new ArrayList<>())
+						.add(this.nowMillis);
 					crash(request.engineId());
 					continue;
 				}
@@ -295,6 +368,11 @@
 
 	}
 
+	/** When a client sends a deadly request again. */
+	private record Repetition(long atMillis, String content) {
+
+	}
+
 	/** An event on its way to a daemon. */
 	private record Delivery(long atMillis, CrashTracker daemon, CrashEvent event) {
 
