Heed engines that announce in answers that they leave or want a rest

Callers would see: requests at an engine that has left, since its entry in the store said ready, and refusals by an engine that had asked for a rest. Cause: Server-Leaving of answers and Retry-After of a 503 are new and were ignored. Fix: an instance that announces that it leaves is selected for nothing new until its entry is dropped or is that of a later start. If all upstreams rest, a request is refused at once with the earliest end as Retry-After.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptListener.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptListener.java
@@ -7,6 +7,15 @@
  */
 interface AttemptListener {
 
+	/**
+	 * Called when the head of a response announces that its upstream leaves or asks for
+	 * no requests for a while.
+	 * @param attempt the attempt
+	 * @param upstreamHead the decoded head
+	 * @param receivedNanos the monotonic time in nanoseconds at which the head was read
+	 */
+	void onNotice(RelayAttempt attempt, UpstreamResponseHead upstreamHead, long receivedNanos);
+
 	/**
 	 * Called when the first part of the response body arrived.
 	 * @param attempt the attempt
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -160,6 +160,9 @@
 		boolean requestIdMatches = this.upstreamHead.requestId()
 			.map((id) -> id.equals(this.exchange.call().id()))
 			.orElse(true);
+		if (this.upstreamHead.leaving() || this.upstreamHead.rest().isPresent()) {
+			this.listener.onNotice(this, this.upstreamHead, System.nanoTime());
+		}
 		if (!requestIdMatches || this.upstreamHead.compressed()
 				|| (received.isSuccess() && !this.upstreamHead.signed())) {
 			abort("answer is not that of the upstream to this request");
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -263,6 +263,11 @@
 		if (dispatch(exchange)) {
 			return;
 		}
+		Optional<Duration> untilRestEnds = this.selector.untilRestEnds(exchange.rule(), nowNanos);
+		if (untilRestEnds.isPresent()) {
+			this.inFlight.fail(exchange, "all upstreams asked for a rest", untilRestEnds.get());
+			return;
+		}
 		Duration maxWait = exchange.rule().targetLatency().dividedBy(TARGET_LATENCY_WAIT_DIVISOR);
 		if (exchange.age(nowNanos).compareTo(maxWait) < 0 && exchange.attempts() == 0) {
 			this.waiting.add(exchange);
@@ -298,6 +303,17 @@
 		return true;
 	}
 
+	@Override
+	public void onNotice(RelayAttempt attempt, UpstreamResponseHead upstreamHead, long receivedNanos) {
+		this.controlThread.post(() -> {
+			String id = attempt.forwarding().upstream().id();
+			if (upstreamHead.leaving()) {
+				this.directory.markLeaving(attempt.forwarding().upstream());
+			}
+			upstreamHead.rest().ifPresent((rest) -> this.health.recordRest(id, rest, receivedNanos));
+		});
+	}
+
 	@Override
 	public void onFirstData(RelayAttempt attempt) {
 		this.controlThread.post(() -> {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -14,6 +15,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.Address;
+import org.mulberrycross.UpstreamInstance;
 import org.mulberrycross.engine.EngineInstance;
 
 /**
@@ -33,6 +35,12 @@
 	/** The id of the entry that started last at each address of a service. */
 	private final Map<ServiceAddress, String> idsByAddress = new HashMap<>();
 
+	/**
+	 * Start times of the instances that have announced in a response that they leave, by
+	 * id. An entry of the same instance that is still listed as ready is outdated.
+	 */
+	private final Map<String, Long> announcedLeaving = new HashMap<>();
+
 	/** Ids of entries whose removal was postponed because of an outage. */
 	private final Set<String> postponedRemovals = new HashSet<>();
 
@@ -106,8 +114,30 @@
 		return left.instance().startedMillis() > right.instance().startedMillis();
 	}
 
+	// Records that an instance has announced that it leaves, until its entry is dropped
+	// or
+	// is that of a later start.
+	void markLeaving(UpstreamInstance instance) {
+		boolean listed = find(instance.id()).map((entry) -> isSameStart(entry.instance(), instance)).orElse(false);
+		if (listed && this.announcedLeaving.put(instance.id(), instance.startedMillis()) == null) {
+			logger.atInfo()
+				.addKeyValue("upstream", instance.id())
+				.addKeyValue("service", instance.service())
+				.log("upstream announced that it leaves");
+		}
+	}
+
+	private static boolean isSameStart(UpstreamInstance left, UpstreamInstance right) {
+		return left.startedMillis() == right.startedMillis();
+	}
+
+	private boolean isLeaving(UpstreamInstance instance) {
+		return instance.leaving() || Objects.equals(this.announcedLeaving.get(instance.id()), instance.startedMillis());
+	}
+
 	private void drop(DirectoryEntry entry, String reason) {
 		String id = entry.instance().id();
+		this.announcedLeaving.remove(id);
 		this.entries.remove(id);
 		this.postponedRemovals.remove(id);
 		this.idsByAddress.remove(ServiceAddress.of(entry), id);
@@ -148,7 +178,7 @@
 	List<DirectoryEntry> eligibleEntries(String service) {
 		return this.entries.values()
 			.stream()
-			.filter((entry) -> entry.instance().service().equals(service) && !entry.instance().leaving())
+			.filter((entry) -> entry.instance().service().equals(service) && !isLeaving(entry.instance()))
 			.toList();
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
@@ -11,7 +11,8 @@
 /**
  * Passive health checks: ejects an upstream that fails requests, with a duration that
  * doubles at each consecutive failure. Ejected upstreams are used only if no other is
- * eligible. Confined to the control thread; not thread-safe.
+ * eligible. An upstream that asks for a rest gets none until its end. Confined to the
+ * control thread; not thread-safe.
  */
 final class UpstreamHealth {
 
@@ -33,6 +34,9 @@
 
 	private final Map<String, Ejection> ejections = new HashMap<>();
 
+	/** The monotonic time in nanoseconds until which an upstream asks for no requests. */
+	private final Map<String, Long> restEndNanos = new HashMap<>();
+
 	void recordFailure(String id, String reason, long nowNanos) {
 		Ejection previous = this.ejections.getOrDefault(id, new Ejection(nowNanos, Duration.ZERO, false));
 		if (nowNanos < previous.untilNanos()) {
@@ -80,6 +84,23 @@
 		return (doubled.compareTo(MAX_EJECTION) < 0) ? doubled : MAX_EJECTION;
 	}
 
+	// Records that an upstream asks for no requests. Its latest answer counts.
+	void recordRest(String id, Duration rest, long receivedNanos) {
+		this.restEndNanos.values().removeIf((endNanos) -> endNanos - receivedNanos <= 0);
+		this.restEndNanos.put(id, receivedNanos + rest.toNanos());
+		logger.atInfo()
+			.addKeyValue("upstream", id)
+			.addKeyValue("for_ms", rest.toMillis())
+			.log("upstream asked for no requests");
+	}
+
+	// Returns how long an upstream still asks for no requests, empty if it does not.
+	Optional<Duration> untilRestEnds(String id, long nowNanos) {
+		Long endNanos = this.restEndNanos.get(id);
+		return (endNanos != null && endNanos - nowNanos > 0) ? Optional.of(Duration.ofNanos(endNanos - nowNanos))
+				: Optional.empty();
+	}
+
 	void recordSuccess(String id) {
 		this.ejections.remove(id);
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamResponseHead.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamResponseHead.java
@@ -1,5 +1,6 @@
 package org.mulberrycross.router.relay;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -15,9 +16,11 @@
  * does not hold the requested layers
  * @param faultyEngine the engine that caused the failure of a path, or empty, not null
  * @param compressed whether the body is compressed, which the upstream itself does not do
+ * @param leaving whether the upstream announces that it leaves
+ * @param rest the time for which the upstream asks for no requests, or empty, not null
  */
 public record UpstreamResponseHead(Optional<String> requestId, boolean signed, boolean notExecuted, boolean misdirected,
-		Optional<Address> faultyEngine, boolean compressed) {
+		Optional<Address> faultyEngine, boolean compressed, boolean leaving, Optional<Duration> rest) {
 
 	/**
 	 * Creates a decoded head.
@@ -29,10 +32,14 @@
 	 * @param faultyEngine the engine that caused the failure of a path, or empty, not
 	 * null
 	 * @param compressed whether the body is compressed
+	 * @param leaving whether the upstream announces that it leaves
+	 * @param rest the time for which the upstream asks for no requests, or empty, not
+	 * null
 	 */
 	public UpstreamResponseHead {
 		Objects.requireNonNull(requestId, "requestId");
 		Objects.requireNonNull(faultyEngine, "faultyEngine");
+		Objects.requireNonNull(rest, "rest");
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 
 import org.mulberrycross.UpstreamInstance;
+import org.mulberrycross.caller.RouteRule;
 import org.mulberrycross.engine.AcceleratorKind;
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EnginePath;
@@ -91,6 +92,36 @@
 		});
 	}
 
+	// Returns the time until the first of the upstreams to which requests of a route are
+	// sent ends its rest, or empty unless all of them rest.
+	Optional<Duration> untilRestEnds(RouteRule rule, long nowNanos) {
+		List<DirectoryEntry> entries = rule.services()
+			.stream()
+			.flatMap((service) -> this.directory.eligibleEntries(service.service()).stream())
+			.filter(UpstreamSelector::takesRequests)
+			.toList();
+		List<Duration> rests = entries.stream()
+			.flatMap((entry) -> this.health.untilRestEnds(entry.instance().id(), nowNanos).stream())
+			.toList();
+		return (rests.size() == entries.size()) ? rests.stream().min(Comparator.naturalOrder()) : Optional.empty();
+	}
+
+	// Returns whether requests are sent to an upstream itself, as to an instance of a
+	// plain
+	// service or to an engine that holds the first layers.
+	private static boolean takesRequests(DirectoryEntry entry) {
+		return entry.engine()
+			.map((engine) -> engine.layers().map(LayerRange::first).equals(Optional.of(0)))
+			.orElse(true);
+	}
+
+	private List<DirectoryEntry> eligibleEntries(String service, long nowNanos) {
+		return this.directory.eligibleEntries(service)
+			.stream()
+			.filter((entry) -> this.health.untilRestEnds(entry.instance().id(), nowNanos).isEmpty())
+			.toList();
+	}
+
 	static RequestTokens requestTokens(RelayExchange exchange) {
 		return new RequestTokens(exchange.call().promptTokens(), exchange.call().maxOutputTokens());
 	}
@@ -98,7 +129,7 @@
 	// Finds a path through the engines of a service, relaxing the criteria step by step.
 	private Optional<EnginePath> selectPath(RelayExchange exchange, String service, long nowNanos) {
 		List<EngineInstance> engines = new ArrayList<>();
-		this.directory.eligibleEntries(service).forEach((entry) -> entry.engine().ifPresent(engines::add));
+		eligibleEntries(service, nowNanos).forEach((entry) -> entry.engine().ifPresent(engines::add));
 		EngineProfile profile = this.profiles.get(service);
 		Predicate<EngineInstance> notFailed = (engine) -> !exchange.failedUpstreams().contains(engine.id());
 		Predicate<EngineInstance> notEjected = notFailed.and((engine) -> !this.health.isEjected(engine.id(), nowNanos));
@@ -152,8 +183,7 @@
 			.comparing((UpstreamInstance instance) -> this.health.isEjected(instance.id(), nowNanos))
 			.thenComparing((instance) -> this.load.requests(instance.id()))
 			.thenComparing((instance) -> !instance.dataCentre().equals(this.dataCentre));
-		return this.directory.eligibleEntries(service)
-			.stream()
+		return eligibleEntries(service, nowNanos).stream()
 			.map(DirectoryEntry::instance)
 			.filter((instance) -> !exchange.failedUpstreams().contains(instance.id()))
 			.min(leastLoaded);
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
@@ -198,7 +198,8 @@
 
 		@Override
 		public UpstreamResponseHead decodeResponseHead(ResponseHead head) {
-			return new UpstreamResponseHead(Optional.empty(), true, false, false, Optional.empty(), false);
+			return new UpstreamResponseHead(Optional.empty(), true, false, false, Optional.empty(), false, false,
+					Optional.empty());
 		}
 
 	}
@@ -222,6 +223,10 @@
 			throw new AssertionError("error response");
 		}
 
+		@Override
+		public void onNotice(RelayAttempt attempt, UpstreamResponseHead upstreamHead, long receivedNanos) {
+		}
+
 		@Override
 		public void onAttemptFailed(RelayAttempt attempt, String reason) {
 			RelayAttemptTest.this.failures.add(reason);
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -153,4 +153,52 @@
 		assertThat(selectPath()).containsExactly("first", "second").inOrder();
 	}
 
+	/**
+	 * Fails if an engine that asked for a rest gets requests before its end, as the first
+	 * of a path or as a part of one, even as a last resort, or none after it.
+	 */
+	@Test
+	void restingEngineGetsNoRequests() {
+		this.health.recordRest("second", Duration.ofSeconds(3), -Duration.ofSeconds(2).toNanos());
+		assertThat(selectPath()).isEmpty();
+		put("other", 5, 10, 134);
+		assertThat(selectPath()).containsExactly("first", "other").inOrder();
+		this.health.recordRest("second", Duration.ofSeconds(1), -Duration.ofSeconds(1).toNanos());
+		this.exchange.failedUpstreams().add("other");
+		assertThat(selectPath()).containsExactly("first", "second").inOrder();
+	}
+
+	/**
+	 * Fails if a request waits, or gets a Retry-After that is too short, although all
+	 * engines that it could be sent to rest.
+	 */
+	@Test
+	void tellsEarliestEndOfRest() {
+		put("another", 0, 5, 134);
+		this.health.recordRest("first", Duration.ofSeconds(7), 0);
+		assertThat(this.selector.untilRestEnds(RULE, 0)).isEqualTo(Optional.empty());
+		this.health.recordRest("another", Duration.ofSeconds(4), 0);
+		assertThat(this.selector.untilRestEnds(RULE, 0)).isEqualTo(Optional.of(Duration.ofSeconds(4)));
+	}
+
+	/**
+	 * Fails if an engine that announced in a response that it leaves gets requests
+	 * because its entry in the store still says that it is ready, or if a later start of
+	 * it gets none.
+	 */
+	@Test
+	void leavingEngineGetsNoRequests() {
+		put("other", 5, 10, 134);
+		this.directory.find("second").ifPresent((entry) -> this.directory.markLeaving(entry.instance()));
+		put("second", 5, 10, 130);
+		assertThat(selectPath()).containsExactly("first", "other").inOrder();
+		this.exchange.failedUpstreams().add("other");
+		assertThat(selectPath()).isEmpty();
+		UpstreamInstance restarted = new UpstreamInstance("second", "model", new Address("10.0.0.1", 80), "dc", false,
+				134, 2);
+		this.directory.put(new DirectoryEntry(restarted,
+				Optional.of(new EngineInstance(restarted, "kind", Optional.of(new LayerRange(5, 10)), 1))));
+		assertThat(selectPath()).containsExactly("first", "second").inOrder();
+	}
+
 }
