Tell a rejected client when the first of its upstreams ends its rest

Cause: a request whose retries had run out got a Retry-After of 0.3 s although all upstreams had asked for a longer rest. Also makes the check for the fingerprint of a request one method. No test asserts the value in this path; it is that of UpstreamSelectorTest#tellsEarliestEndOfRest.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/CrashAttribution.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/CrashAttribution.java
@@ -107,6 +107,15 @@
 
 	private final Map<String, Long> lastBegunNanos = new LinkedHashMap<>();
 
+	/**
+	 * Returns whether a part is the fingerprint of a whole request.
+	 * @param part the part, not null
+	 * @return false if it is a part of prompts
+	 */
+	public static boolean isRequest(String part) {
+		return part.startsWith(REQUEST_PREFIX);
+	}
+
 	/**
 	 * Returns whether any engine was lost with a part that was not cleared since.
 	 * @return false if no request can be suspected and none can be cleared
@@ -301,14 +310,10 @@
 			.allMatch(parts::contains);
 	}
 
-	private static boolean isRequest(String part) {
-		return part.startsWith(REQUEST_PREFIX);
-	}
-
-	// Returns whether to refuse requests with the other part is enough, since it never
-	// was
-	// without this one. A whole request always has its parts, so it speaks only for those
-	// with which others have begun.
+	// Returns whether it is enough to refuse requests with the other part, which was
+	// never
+	// lost without this one. A whole request always has its parts, so it speaks only for
+	// those with which others have begun.
 	private boolean isNarrower(String other, String part, long nowNanos) {
 		return this.suspects.get(other).companions.contains(part)
 				&& (!isRequest(other) || isRequest(part) || hasBegunRecently(part, nowNanos));
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashTracker.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashTracker.java
@@ -110,7 +110,7 @@
 	}
 
 	private static String describe(String part) {
-		return part.startsWith(CrashAttribution.REQUEST_PREFIX) ? "this request" : "part " + part + " of the prompt";
+		return CrashAttribution.isRequest(part) ? "this request" : "part " + part + " of the prompt";
 	}
 
 	// A permit ends when the next trial is due, or with the next loss.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -352,7 +352,7 @@
 				exchange.addExecutions(-1);
 				recordRejection(attempt, upstreamHead, reason);
 				retryOrElse(exchange, reason,
-						() -> this.inFlight.fail(exchange, reason, InFlightRequests.RETRY_AFTER_BUSY));
+						() -> this.inFlight.fail(exchange, reason, retryAfterRejection(exchange)));
 				return;
 			}
 			if (head.status() >= 500) {
@@ -369,6 +369,12 @@
 		});
 	}
 
+	// Returns when a client may come back after its request was rejected by an upstream.
+	private Duration retryAfterRejection(RelayExchange exchange) {
+		return this.selector.untilRestEnds(exchange.rule(), this.clock.nanos())
+			.orElse(InFlightRequests.RETRY_AFTER_BUSY);
+	}
+
 	// Ejects the engine that caused the rejection, or the upstream if no engine is named.
 	// An engine that was sent layers that it does not hold is not merely saturated: its
 	// entry is outdated until it publishes a new one.
