Take a slow answer on another connection for no outage of the store

Cause: after a lost connection the store had to respond within 0.3 s, or the loss counted as an outage and the entry was kept for two seconds. The daemons were late by up to 1.6 s themselves. Ruled out: late detection; the followers noticed the silence within 2.6 s. A call that fails is an outage. KindWatcherTest#secondFailureIsAnOutage keeps the other side.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindListener.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindListener.java
@@ -32,9 +32,8 @@
 	void onStoreAvailable();
 
 	/**
-	 * Called instead of {@link #onStoreAvailable()} if the store responded at once on
-	 * another connection: only the connection was lost, and the store was available
-	 * throughout.
+	 * Called instead of {@link #onStoreAvailable()} if the store responded to the first
+	 * call on another connection: only the connection was lost.
 	 */
 	void onConnectionReplaced();
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -54,12 +54,6 @@
 	 */
 	private static final Duration MAX_REJECTION_TIME = Duration.ofMillis(250);
 
-	/**
-	 * Time within which the store responds to a call on another connection if only the
-	 * connection before was lost. A later response means that there was an outage.
-	 */
-	private static final Duration MAX_REPLACEMENT_TIME = Duration.ofMillis(300);
-
 	/** Minimum timeout of a watch while the store is available. */
 	private static final Duration MIN_WATCH_TIMEOUT = Duration.ofMillis(300);
 
@@ -198,10 +192,6 @@
 		return now;
 	}
 
-	private boolean isCallOlderThan(Duration age) {
-		return this.clock.nanos() - this.callStartedNanos >= age.toNanos();
-	}
-
 	private Duration nextWatchTimeout() {
 		if (!this.storeAvailable) {
 			return UNAVAILABLE_WATCH_TIMEOUT;
@@ -219,9 +209,8 @@
 			return;
 		}
 		setStoreAvailable(true);
-		boolean onlyConnectionLost = this.connectionLost && !isCallOlderThan(MAX_REPLACEMENT_TIME);
-		this.connectionLost = false;
-		if (onlyConnectionLost) {
+		if (this.connectionLost) {
+			this.connectionLost = false;
 			this.listener.onConnectionReplaced();
 			logger.atInfo().addKeyValue("kind", this.kind).log("connection to the store was replaced");
 			return;
@@ -235,7 +224,7 @@
 			return;
 		}
 		this.connectionLost = this.storeAvailable && cause instanceof OutcomeUnknownException
-				&& isCallOlderThan(MAX_REJECTION_TIME);
+				&& this.clock.nanos() - this.callStartedNanos >= MAX_REJECTION_TIME.toNanos();
 		if (this.storeAvailable) {
 			setStoreAvailable(false);
 			this.listener.onStoreUnavailable();
