Give answers in tests of HTTP clients time on a busy machine

Cause: the probe of the first case had 0.5 s, and the case took 1.3 s. The outcome is right for a probe without a reply in time; the test gave an answered probe the timeout that is meant for silence. Fix: 0.5 s where the case is silence, 10 s for what is answered. The outcomes and counts that the test asserts are the same. The new test of HttpClient, too.

--- a/mulberrycross/src/test/java/org/mulberrycross/http/HttpClientTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/HttpClientTest.java
@@ -27,6 +27,9 @@
 
 	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
 
+	/** For what is answered, also on a busy machine. */
+	private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(10);
+
 	private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(300);
 
 	private static final long MAX_WAIT_SECONDS = 20;
@@ -56,7 +59,7 @@
 	void idleConnectionsAreNotUsedAfterOneWentSilent() throws Exception {
 		try (SilentConnections server = new SilentConnections(); HttpClient client = new HttpClient(1)) {
 			HttpCall call = HttpCall.get(Step.READ_OBJECT, new Peer(Peer.Kind.PLATFORM, "store"), server.address(),
-					"/objects/servers", CALL_TIMEOUT);
+					"/objects/servers", ANSWER_TIMEOUT);
 			CompletableFuture<Void> other = CompletableFuture.runAsync(() -> sendQuietly(client, call));
 			sendQuietly(client, call);
 			other.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
--- a/mulberrycross/src/test/java/org/mulberrycross/service/http/HttpServiceClientTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/service/http/HttpServiceClientTest.java
@@ -43,6 +43,11 @@
 
 	private static final long REPETITION_DELAY_MILLIS = 50;
 
+	private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(500);
+
+	/** For what is answered, also on a busy machine. */
+	private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(10);
+
 	private final List<String> requestLines = new CopyOnWriteArrayList<>();
 
 	/**
@@ -62,7 +67,8 @@
 		try (ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
 				HttpClient client = new HttpClient(1)) {
 			startDaemonThread(() -> acceptConnections(server, probeResponse, callResponse));
-			CallOutcome outcome = send(client, server.getLocalPort(), atMostOnce);
+			CallOutcome outcome = send(client, server.getLocalPort(), atMostOnce, timeout(probeResponse),
+					timeout(callResponse));
 			assertThat(outcome.kind()).isEqualTo(kind);
 			assertThat(this.requestLines.stream().filter((line) -> line.startsWith("POST /bookings"))).hasSize(calls);
 		}
@@ -77,12 +83,18 @@
 			port = server.getLocalPort();
 		}
 		try (HttpClient client = new HttpClient(1)) {
-			assertThat(send(client, port, atMostOnce).kind()).isEqualTo(CallOutcome.Kind.NOT_RUN);
+			assertThat(send(client, port, atMostOnce, ANSWER_TIMEOUT, ANSWER_TIMEOUT).kind())
+				.isEqualTo(CallOutcome.Kind.NOT_RUN);
 		}
 	}
 
-	private static CallOutcome send(HttpClient client, int port, boolean atMostOnce) {
-		HttpServiceClient service = new HttpServiceClient(client, Duration.ofMillis(500), Duration.ofSeconds(1));
+	private static Duration timeout(String response) {
+		return response.equals("silent") ? SILENCE_TIMEOUT : ANSWER_TIMEOUT;
+	}
+
+	private static CallOutcome send(HttpClient client, int port, boolean atMostOnce, Duration probeTimeout,
+			Duration callTimeout) {
+		HttpServiceClient service = new HttpServiceClient(client, probeTimeout, callTimeout);
 		ServiceCall call = new ServiceCall("team", "crew", "POST", "/bookings", "", "", "{}".getBytes(),
 				Optional.of("key"));
 		return service.send(call, UpstreamObject.service("crew-1", "crew", "127.0.0.1:" + port, "dc", List.of()),
