Wait for the service to read a call in HttpServiceClientTest

Cause: the test counts the calls as soon as the client gives up, while the thread of the service may not have read the call yet. Fix: the test waits for calls that were sent. It asserts the same number, and for cases that expect none it counts at once, as before.

--- a/mulberrycross/src/test/java/org/mulberrycross/service/http/HttpServiceClientTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/service/http/HttpServiceClientTest.java
@@ -43,7 +43,7 @@
 
 	private static final long REPETITION_DELAY_MILLIS = 50;
 
-	private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(500);
+	private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
 
 	/** For what is answered, also on a busy machine. */
 	private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(10);
@@ -63,17 +63,27 @@
 			"true, ok and close, close, UNKNOWN, 1", "false, silent, created, COMPLETED, 1",
 			"false, ok, close, UNKNOWN, 1" })
 	void faultsMapToOutcomes(boolean atMostOnce, String probeResponse, String callResponse, CallOutcome.Kind kind,
-			int calls) throws IOException {
+			int calls) throws IOException, InterruptedException {
 		try (ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
 				HttpClient client = new HttpClient(1)) {
 			startDaemonThread(() -> acceptConnections(server, probeResponse, callResponse));
 			CallOutcome outcome = send(client, server.getLocalPort(), atMostOnce, timeout(probeResponse),
 					timeout(callResponse));
 			assertThat(outcome.kind()).isEqualTo(kind);
+			awaitCalls(calls);
 			assertThat(this.requestLines.stream().filter((line) -> line.startsWith("POST /bookings"))).hasSize(calls);
 		}
 	}
 
+	// Waits for calls that were sent, but that the service may not have read yet.
+	private void awaitCalls(int calls) throws InterruptedException {
+		long deadlineNanos = System.nanoTime() + ANSWER_TIMEOUT.toNanos();
+		while (this.requestLines.stream().filter((line) -> line.startsWith("POST /bookings")).count() < calls
+				&& System.nanoTime() < deadlineNanos) {
+			TimeUnit.MILLISECONDS.sleep(10);
+		}
+	}
+
 	/** Fails if the outcome of a refused connection is not "not run". */
 	@ParameterizedTest
 	@CsvSource({ "true", "false" })
