--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -207,9 +207,8 @@
 		return this.responseStarted;
 	}
 
-	// Returns whether another attempt may go on with the response: nothing was sent to
-	// the
-	// client yet, or only events after which a stream can be resumed.
+	// Returns whether another attempt may go on with the response: the client has nothing
+	// yet, or only events after which a stream can be resumed.
 	synchronized boolean isResumable() {
 		return !this.responseStarted || (isStream() && !this.eventStream.hasUnnumberedData());
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -114,9 +114,8 @@
 		return left.instance().startedMillis() > right.instance().startedMillis();
 	}
 
-	// Records that an instance has announced that it leaves, until its entry is dropped
-	// or
-	// is that of a later start.
+	// Records that an instance has announced that it leaves. This holds until its entry
+	// is dropped or is that of a later start.
 	void markLeaving(UpstreamInstance instance) {
 		boolean listed = find(instance.id()).map((entry) -> isSameStart(entry.instance(), instance)).orElse(false);
 		if (listed && this.announcedLeaving.put(instance.id(), instance.startedMillis()) == null) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -106,9 +106,8 @@
 		return (rests.size() == entries.size()) ? rests.stream().min(Comparator.naturalOrder()) : Optional.empty();
 	}
 
-	// Returns whether requests are sent to an upstream itself, as to an instance of a
-	// plain
-	// service or to an engine that holds the first layers.
+	// Returns whether requests are sent to an upstream itself: to an instance of a plain
+	// service, or to an engine that holds the first layers.
 	private static boolean takesRequests(DirectoryEntry entry) {
 		return entry.engine()
 			.map((engine) -> engine.layers().map(LayerRange::first).equals(Optional.of(0)))
