--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayCall.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayCall.java
@@ -1,5 +1,6 @@
 package org.mulberrycross.http;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import org.glassfish.grizzly.Connection;
@@ -21,13 +22,8 @@
 
 	private Connection<?> connection;
 
-	private boolean headReceived;
-
-	/**
-	 * Whether the response has neither a content length nor chunked encoding, so that
-	 * only the close of the connection marks its end.
-	 */
-	private boolean closeDelimited;
+	/** How the response marks its end, empty before its head has been received. */
+	private volatile Optional<BodyFraming> framing = Optional.empty();
 
 	/** Set once by completion, failure or cancellation; no listener call follows. */
 	private boolean ended;
@@ -101,6 +97,21 @@
 		return HttpContent.builder(packet).content(Buffers.wrap(null, this.request.body())).last(true).build();
 	}
 
+	private static BodyFraming framingOf(HttpResponsePacket packet) {
+		if (packet.isChunked()) {
+			return BodyFraming.CHUNKED;
+		}
+		return (packet.getContentLength() >= 0) ? BodyFraming.LENGTH : BodyFraming.CLOSE;
+	}
+
+	/**
+	 * Returns how the response marks its end.
+	 * @return the framing, or empty if the head of the response has not been received
+	 */
+	public Optional<BodyFraming> framing() {
+		return this.framing;
+	}
+
 	void handleContent(Connection<?> responseConnection, HttpContent content) {
 		synchronized (this) {
 			if (this.ended) {
@@ -108,9 +119,8 @@
 			}
 		}
 		HttpResponsePacket packet = (HttpResponsePacket) content.getHttpHeader();
-		if (!this.headReceived) {
-			this.headReceived = true;
-			this.closeDelimited = !packet.isChunked() && packet.getContentLength() < 0;
+		if (this.framing.isEmpty()) {
+			this.framing = Optional.of(framingOf(packet));
 			OptionalLong contentLength = (packet.isChunked() || packet.getContentLength() < 0) ? OptionalLong.empty()
 					: OptionalLong.of(packet.getContentLength());
 			this.listener
@@ -135,7 +145,7 @@
 	 * any other one, since it is truncated.
 	 */
 	void handleClose() {
-		if (!this.closeDelimited) {
+		if (!this.framing.equals(Optional.of(BodyFraming.CLOSE))) {
 			fail("connection closed before the end of the response");
 		}
 		else if (markEnded()) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.RequestTokens;
+import org.mulberrycross.http.BodyFraming;
 import org.mulberrycross.http.RelayCall;
 import org.mulberrycross.http.ResponseHead;
 import org.mulberrycross.http.ResponseListener;
@@ -117,6 +119,11 @@
 		this.call = startedCall;
 	}
 
+	// Returns how the response marks its end, empty before its head has been received.
+	Optional<BodyFraming> framing() {
+		return Optional.ofNullable(this.call).flatMap(RelayCall::framing);
+	}
+
 	void cancel() {
 		this.body.close();
 		RelayCall startedCall = this.call;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -1,5 +1,7 @@
 package org.mulberrycross.router.relay;
 
+import java.util.Locale;
+
 import org.slf4j.Logger;
 import org.slf4j.spi.LoggingEventBuilder;
 import org.slf4j.spi.NOPLoggingEventBuilder;
@@ -53,6 +55,8 @@
 			.addKeyValue("upstream", attempt.forwarding().upstream().id())
 			.addKeyValue("sent", attempt.wasSent())
 			.addKeyValue("begun", attempt.hasBegun())
+			.addKeyValue("framing", framingText(attempt))
+			.addKeyValue("last_event", exchange.lastEventId().orElse(-1))
 			.addKeyValue("parts", exchange.call().sharedPromptParts())
 			.log("attempt failed");
 	}
@@ -73,16 +77,25 @@
 			.log("request not retried");
 	}
 
+	// Tells with the framing and the last event whether an answer may have been whole.
 	void logEnded(RelayExchange exchange, String outcome) {
 		long firstDataNanos = exchange.firstDataNanos();
+		RelayAttempt attempt = exchange.currentAttempt();
 		nextLine().addKeyValue("request", exchange.call().id())
 			.addKeyValue("tries", exchange.attempts())
 			.addKeyValue("first_ms", (firstDataNanos != 0) ? exchange.age(firstDataNanos).toMillis() : -1)
 			.addKeyValue("total_ms", exchange.age(this.clock.nanos()).toMillis())
+			.addKeyValue("upstream", (attempt != null) ? attempt.forwarding().upstream().id() : "")
+			.addKeyValue("framing", (attempt != null) ? framingText(attempt) : "")
+			.addKeyValue("last_event", exchange.lastEventId().orElse(-1))
 			.addKeyValue("outcome", outcome)
 			.log("request ended");
 	}
 
+	private static String framingText(RelayAttempt attempt) {
+		return attempt.framing().map((framing) -> framing.name().toLowerCase(Locale.ROOT)).orElse("");
+	}
+
 	private LoggingEventBuilder nextLine() {
 		long nowNanos = this.clock.nanos();
 		if (nowNanos - this.intervalStartNanos >= NANOS_PER_SECOND) {
