Complete a close-delimited response only at an orderly close by the upstream

Cause: every close of the connection completed a response without length and chunks. Only a reset that surfaced while the response was read was told apart. The kernel reports a reset once, to the first operation; if that is the write of a long request, the connection is closed for the write, and the response counted as complete. An exception in its processing and a close by this side did the same. Why it works: the end of a response is reported at one place, where the read returns the end of input and the request has been written; every other close fails the response. Nothing is concluded from the close itself. An upstream that shuts down its output while it still reads the request fails too: its close cannot be told from a reset.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayCall.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayCall.java
@@ -5,6 +5,7 @@
 
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -25,6 +26,9 @@
 	/** How the response marks its end, empty before its head has been received. */
 	private volatile Optional<BodyFraming> framing = Optional.empty();
 
+	/** Whether the socket has taken the whole request. */
+	private volatile boolean requestWritten;
+
 	/** Set once by completion, failure or cancellation; no listener call follows. */
 	private boolean ended;
 
@@ -75,7 +79,7 @@
 		}
 		RelayClient.attach(newConnection, this);
 		this.listener.onRequestStarted();
-		newConnection.write(encode());
+		newConnection.write(encode(), writeHandler());
 		// A close before the call was attached to the connection has not been reported.
 		if (!newConnection.isOpen()) {
 			// Clients receive this text in the response body.
@@ -83,6 +87,22 @@
 		}
 	}
 
+	private <L> EmptyCompletionHandler<WriteResult<HttpContent, L>> writeHandler() {
+		return new EmptyCompletionHandler<>() {
+
+			@Override
+			public void completed(WriteResult<HttpContent, L> result) {
+				RelayCall.this.requestWritten = true;
+			}
+
+			@Override
+			public void failed(Throwable cause) {
+				RelayCall.this.fail("request cannot be written: " + cause);
+			}
+
+		};
+	}
+
 	private HttpContent encode() {
 		HttpRequestPacket.Builder builder = HttpRequestPacket.builder()
 			.method(this.request.method())
@@ -141,18 +161,27 @@
 	}
 
 	/**
-	 * Handles the close of the connection: completes a close-delimited response and fails
-	 * any other one, since it is truncated.
+	 * Handles an orderly close by the upstream, which ends a close-delimited response and
+	 * truncates any other one. While the request is being written the close may hide a
+	 * reset, whose error is reported only once, to the write or to the read.
 	 */
-	void handleClose() {
-		if (!this.framing.equals(Optional.of(BodyFraming.CLOSE))) {
-			fail("connection closed before the end of the response");
+	void handleEndOfInput() {
+		if (!this.framing.equals(Optional.of(BodyFraming.CLOSE)) || !this.requestWritten) {
+			handleClose();
 		}
 		else if (markEnded()) {
 			this.listener.onComplete();
 		}
 	}
 
+	/**
+	 * Handles the close of the connection by this side or after an error, which never
+	 * marks the end of a response.
+	 */
+	void handleClose() {
+		fail("connection closed before the end of the response");
+	}
+
 	void fail(String reason) {
 		if (markEnded()) {
 			this.listener.onFailure(reason);
--- a/mulberrycross/src/main/java/org/mulberrycross/http/ResetAwareTransportFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/ResetAwareTransportFilter.java
@@ -11,9 +11,9 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
 
 /**
- * Reads from the socket and distinguishes a connection reset from an orderly close, which
- * the transport filter of Grizzly reports in the same way. A close-delimited response is
- * complete only after an orderly close. Thread-safe.
+ * Reads from the socket and distinguishes an orderly close by the upstream from every
+ * other end of the connection, which the transport filter of Grizzly reports in the same
+ * way. A close-delimited response is complete only after an orderly close. Thread-safe.
  */
 final class ResetAwareTransportFilter extends TransportFilter {
 
@@ -24,12 +24,12 @@
 	public NextAction handleRead(FilterChainContext context) throws IOException {
 		TCPNIOConnection connection = (TCPNIOConnection) context.getConnection();
 		ByteBuffer buffer = ByteBuffer.allocate(READ_BUFFER_BYTES);
+		RelayCall call = RelayClientFilter.CALL_ATTRIBUTE.get(connection);
 		int bytesRead;
 		try {
 			bytesRead = ((SocketChannel) connection.getChannel()).read(buffer);
 		}
 		catch (IOException ex) {
-			RelayCall call = RelayClientFilter.CALL_ATTRIBUTE.get(connection);
 			if (call != null) {
 				call.fail("connection reset before the end of the response");
 			}
@@ -37,6 +37,9 @@
 			return context.getStopAction();
 		}
 		if (bytesRead < 0) {
+			if (call != null) {
+				call.handleEndOfInput();
+			}
 			connection.closeSilently();
 			return context.getStopAction();
 		}
