Complete a stream only if the last answer shows that it is whole

Same class as the close of a connection taken for the end of a response: an end that shows nothing counted as one. Cause: a resumed answer completed the stream at its own end whatever it was: another success such as 204 or 206, or a head without length and chunks and without any event, whose connection then closed. An upstream that breaks off after its head looks the same. A first answer without any event completed an empty stream. Why it works: an answer that goes on with a stream has the status of the first one, and one that only the close ends has brought an event. Answers with a length or a last chunk may still bring none, since the engine that broke off may have sent the last event. The framing is a property of the head, so the call, the attempt and the log derive it from one place.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayCall.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayCall.java
@@ -23,8 +23,8 @@
 
 	private Connection<?> connection;
 
-	/** How the response marks its end, empty before its head has been received. */
-	private volatile Optional<BodyFraming> framing = Optional.empty();
+	/** The head of the response, empty before it has been received. */
+	private Optional<ResponseHead> head = Optional.empty();
 
 	/** Whether the socket has taken the whole request. */
 	private volatile boolean requestWritten;
@@ -117,21 +117,6 @@
 		return HttpContent.builder(packet).content(Buffers.wrap(null, this.request.body())).last(true).build();
 	}
 
-	private static BodyFraming framingOf(HttpResponsePacket packet) {
-		if (packet.isChunked()) {
-			return BodyFraming.CHUNKED;
-		}
-		return (packet.getContentLength() >= 0) ? BodyFraming.LENGTH : BodyFraming.CLOSE;
-	}
-
-	/**
-	 * Returns how the response marks its end.
-	 * @return the framing, or empty if the head of the response has not been received
-	 */
-	public Optional<BodyFraming> framing() {
-		return this.framing;
-	}
-
 	void handleContent(Connection<?> responseConnection, HttpContent content) {
 		synchronized (this) {
 			if (this.ended) {
@@ -139,12 +124,13 @@
 			}
 		}
 		HttpResponsePacket packet = (HttpResponsePacket) content.getHttpHeader();
-		if (this.framing.isEmpty()) {
-			this.framing = Optional.of(framingOf(packet));
+		if (this.head.isEmpty()) {
 			OptionalLong contentLength = (packet.isChunked() || packet.getContentLength() < 0) ? OptionalLong.empty()
 					: OptionalLong.of(packet.getContentLength());
-			this.listener
-				.onHead(new ResponseHead(packet.getStatus(), Headers.copyOf(packet.getHeaders()), contentLength));
+			ResponseHead received = new ResponseHead(packet.getStatus(), Headers.copyOf(packet.getHeaders()),
+					contentLength);
+			this.head = Optional.of(received);
+			this.listener.onHead(received);
 		}
 		if (content.getContent() != null && content.getContent().hasRemaining()) {
 			byte[] data = new byte[content.getContent().remaining()];
@@ -166,7 +152,7 @@
 	 * reset, whose error is reported only once, to the write or to the read.
 	 */
 	void handleEndOfInput() {
-		if (!this.framing.equals(Optional.of(BodyFraming.CLOSE)) || !this.requestWritten) {
+		if (!this.head.map(ResponseHead::framing).equals(Optional.of(BodyFraming.CLOSE)) || !this.requestWritten) {
 			handleClose();
 		}
 		else if (markEnded()) {
--- a/mulberrycross/src/main/java/org/mulberrycross/http/ResponseHead.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/ResponseHead.java
@@ -13,6 +13,10 @@
  */
 public record ResponseHead(int status, Headers headers, OptionalLong contentLength) {
 
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
 	/**
 	 * Creates a response head.
 	 * @param status the HTTP status code, not validated
@@ -33,4 +37,16 @@
 		return this.status / 100 == 2;
 	}
 
+	/**
+	 * Returns how the response marks the end of its body, as its head says it. A response
+	 * that never has a body counts as one with a length.
+	 * @return the framing, not null
+	 */
+	public BodyFraming framing() {
+		if (this.contentLength.isPresent() || this.status == NO_CONTENT || this.status == NOT_MODIFIED) {
+			return BodyFraming.LENGTH;
+		}
+		return this.headers.firstValue("Transfer-Encoding").isPresent() ? BodyFraming.CHUNKED : BodyFraming.CLOSE;
+	}
+
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -44,7 +44,7 @@
 
 	private volatile RelayCall call;
 
-	private ResponseHead head;
+	private volatile ResponseHead head;
 
 	private UpstreamResponseHead upstreamHead;
 
@@ -121,7 +121,7 @@
 
 	// Returns how the response marks its end, empty before its head has been received.
 	Optional<BodyFraming> framing() {
-		return Optional.ofNullable(this.call).flatMap(RelayCall::framing);
+		return Optional.ofNullable(this.head).map(ResponseHead::framing);
 	}
 
 	void cancel() {
@@ -173,6 +173,10 @@
 		if (!requestIdMatches || this.upstreamHead.compressed()
 				|| (received.isSuccess() && !this.upstreamHead.signed())) {
 			abort("answer is not that of the upstream to this request");
+			return;
+		}
+		if (received.isSuccess() && !this.exchange.mayContinueWith(received)) {
+			abort("resumed answer has status " + received.status());
 		}
 	}
 
@@ -236,6 +240,11 @@
 	}
 
 	private void completeStream() {
+		// An upstream that breaks off right after its head closes its connection as well.
+		if (!this.begun && this.head.framing() == BodyFraming.CLOSE) {
+			abort("stream was closed without a new event");
+			return;
+		}
 		if (this.exchange.endStream(this, this.head)) {
 			this.listener.onCompleted(this);
 			return;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -58,7 +59,8 @@
 
 	private volatile RelayAttempt currentAttempt;
 
-	private boolean responseStarted;
+	/** The status sent to the client, empty before the response has started. */
+	private OptionalInt startedStatus = OptionalInt.empty();
 
 	private boolean responseClosed;
 
@@ -204,13 +206,19 @@
 
 	// Returns whether a part of the response was sent to the client.
 	synchronized boolean isResponseStarted() {
-		return this.responseStarted;
+		return this.startedStatus.isPresent();
 	}
 
 	// Returns whether another attempt may go on with the response: the client has nothing
 	// yet, or only events after which a stream can be resumed.
 	synchronized boolean isResumable() {
-		return !this.responseStarted || (isStream() && !this.eventStream.hasUnnumberedData());
+		return !isResponseStarted() || (isStream() && !this.eventStream.hasUnnumberedData());
+	}
+
+	// Returns whether an answer with this head may be, or go on with, the response to the
+	// client. Another kind of success than that of the first answer carries no events.
+	synchronized boolean mayContinueWith(ResponseHead head) {
+		return !isResponseStarted() || this.startedStatus.getAsInt() == head.status();
 	}
 
 	// Returns when the first part of the response was sent to the client, 0 if none was.
@@ -272,7 +280,7 @@
 
 	// Sends a complete response, unless the attempt may not write or one has started.
 	synchronized void sendResponse(RelayAttempt attempt, ResponseHead head, byte[] body) {
-		if (mayWrite(attempt) && !this.responseStarted) {
+		if (mayWrite(attempt) && !isResponseStarted()) {
 			startResponse(new ResponseHead(head.status(), head.headers(), OptionalLong.of(body.length)));
 			this.response.write(body);
 			this.response.end();
@@ -283,7 +291,7 @@
 	// attempt may write afterwards. Returns whether the local response was sent.
 	synchronized boolean endWith(LocalResponse localResponse) {
 		this.responseClosed = true;
-		if (this.responseStarted) {
+		if (isResponseStarted()) {
 			this.response.abort();
 			return false;
 		}
@@ -296,8 +304,8 @@
 	}
 
 	private void startResponse(ResponseHead head) {
-		if (!this.responseStarted) {
-			this.responseStarted = true;
+		if (!isResponseStarted()) {
+			this.startedStatus = OptionalInt.of(head.status());
 			this.firstDataNanos = System.nanoTime();
 			this.response
 				.setHead(new ResponseHead(head.status(), head.headers().withoutHopByHop(), head.contentLength()));
