Fail responses whose framing is unclear or broken

Callers saw the lines of chunks as data, and streams that broke off as complete.

Cause: the HTTP filter of Grizzly decides leniently how a response is framed. It recognizes a chunked body by the exact text of a field, and takes every other Transfer-Encoding for a body that the close of the connection ends. It drops bytes between the data of a chunk and the next line feed, takes the first of several lengths, and the first three digits of a status. After an exception it keeps the connection open for some milliseconds and decodes what arrives then.

ResponseFraming now decides from the whole head, however it arrived, and refuses a Transfer-Encoding other than chunked, one that is repeated, in HTTP/1.0 or beside a length, differing or malformed lengths, an invalid field name, and another status line than `HTTP/1.x` with three digits. ChunkDecoder requires the line end right after the data, accepts CRLF only, and keeps failing once it has failed. ResponseCodecFilter fails the call and closes the connection at once, so that no later bytes count. Both clients use it. Chunk data is passed on as a slice of the received buffer. Encoding of requests is unchanged.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -17,7 +17,6 @@
 import org.glassfish.grizzly.connectionpool.MultiEndpointPool;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.memory.Buffers;
@@ -70,7 +69,7 @@
 			.build();
 		this.transport.setProcessor(FilterChainBuilder.stateless()
 			.add(new TransportFilter())
-			.add(new HttpClientFilter())
+			.add(new ResponseCodecFilter(HttpExchangeFilter::fail))
 			.add(new HttpExchangeFilter())
 			.build());
 		this.transport.start();
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
@@ -31,6 +31,13 @@
 		EXCHANGE_ATTRIBUTE.remove(connection);
 	}
 
+	static void fail(Connection<?> connection, Throwable error) {
+		HttpExchange exchange = EXCHANGE_ATTRIBUTE.get(connection);
+		if (exchange != null) {
+			exchange.fail(error);
+		}
+	}
+
 	@Override
 	public NextAction handleRead(FilterChainContext context) throws IOException {
 		HttpContent content = context.getMessage();
@@ -57,10 +64,7 @@
 
 	@Override
 	public void exceptionOccurred(FilterChainContext context, Throwable error) {
-		HttpExchange exchange = EXCHANGE_ATTRIBUTE.get(context.getConnection());
-		if (exchange != null) {
-			exchange.fail(error);
-		}
+		fail(context.getConnection(), error);
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayClient.java
@@ -5,7 +5,6 @@
 
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -36,7 +35,7 @@
 			.build();
 		this.transport.setProcessor(FilterChainBuilder.stateless()
 			.add(new ResetAwareTransportFilter())
-			.add(new HttpClientFilter())
+			.add(new ResponseCodecFilter(RelayClientFilter::fail))
 			.add(new RelayClientFilter())
 			.build());
 		this.transport.start();
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayClientFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayClientFilter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -18,6 +19,13 @@
 	static final Attribute<RelayCall> CALL_ATTRIBUTE = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
 		.createAttribute(RelayClientFilter.class.getName());
 
+	static void fail(Connection<?> connection, Throwable error) {
+		RelayCall call = CALL_ATTRIBUTE.get(connection);
+		if (call != null) {
+			call.fail("response cannot be read: " + error);
+		}
+	}
+
 	@Override
 	public NextAction handleRead(FilterChainContext context) throws IOException {
 		HttpContent content = context.getMessage();
@@ -40,10 +48,7 @@
 
 	@Override
 	public void exceptionOccurred(FilterChainContext context, Throwable error) {
-		RelayCall call = CALL_ATTRIBUTE.get(context.getConnection());
-		if (call != null) {
-			call.fail("response cannot be read: " + error);
-		}
+		fail(context.getConnection(), error);
 		context.getConnection().terminateSilently();
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/http/ResponseFramingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/ResponseFramingTest.java
@@ -61,6 +61,7 @@
 	@CsvSource({ "'Transfer-Encoding: chunked', '2\r\nab\r\n0\r\n\r\n', ab",
 			"'Transfer-Encoding: Chunked', '2\r\nab\r\n0\r\n\r\n', ab",
 			"'TRANSFER-ENCODING:CHUNKED ', '02\r\na\n\r\n000\r\n\r\n', 'a\n'",
+			"'Transfer-Encoding:\r\n chunked', '2\r\nab\r\n0\r\n\r\n', ab",
 			"'Transfer-Encoding: chunked', '1;a=\"b\"\r\na\r\n1 ; c\r\nb\r\n0;d\r\nX-A: b\r\nX-B:\r\n\r\n', ab",
 			"'Transfer-Encoding: chunked', 'a\r\n0\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n', '0\r\n\r\n0\r\n\r\n'",
 			"'Content-Length: 2', ab, ab", "'Content-Length: 2\r\nContent-Length: 2', ab, ab" })
@@ -84,8 +85,9 @@
 			"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
 			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab",
 			"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nabc",
-			"HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nab", "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nab",
-			"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nab" })
+			"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nab", "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nab",
+			"HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nab", "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nab",
+			"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nab", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nab" })
 	void failsUnsoundHead(String response) throws Exception {
 		assertOutcome(response, FAILED_BEFORE_HEAD);
 	}
@@ -103,6 +105,15 @@
 		assertOutcome("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body, FAILED);
 	}
 
+	/** Fails if the length of a body that is not sent is waited for. */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n",
+			"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+			"HTTP/1.0 200\r\nContent-Length: 0\r\n\r\n" })
+	void completesResponseWithoutBody(String response) throws Exception {
+		assertOutcome(response, "");
+	}
+
 	private void assertOutcome(String response, String expected) throws Exception {
 		for (int length = 1; length <= response.length(); length++) {
 			String[] parts = { response.substring(0, length), response.substring(length) };
