--- a/mulberrycross/src/main/java/org/mulberrycross/http/BodyFraming.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/BodyFraming.java
@@ -1,17 +1,17 @@
 package org.mulberrycross.http;
 
 /**
- * How a message marks the end of its body.
+ * How a response marks the end of its body.
  */
 public enum BodyFraming {
 
-	/** By a content length. */
+	/** By the length in its head, or by a status that has no body. */
 	LENGTH,
 
 	/** By a last chunk. */
 	CHUNKED,
 
-	/** By an orderly close of the connection. Responses only. */
+	/** By an orderly close of the connection. */
 	CLOSE
 
 }
