Check the framing of requests before the codec reads them

What callers saw: a request whose body was not framed as Grizzly expects was handled with an empty or shortened body, and the rest of the body as a request of its own, so that an engine could run a request that no client sent. An error response of Grizzly to bytes behind a request was written into the chunks of the response under way.

Cause: Grizzly's codec ignores a Transfer-Encoding that it does not know exactly ("gzip, chunked", a folded field, a blank before the colon, "Chunked" in several reads) and reads the body as the next request. It prefers chunks to a Content-Length beside them, takes a chunk size without digits for the last chunk, skips the bytes by which a chunk is longer than its size, and skips a line that is no request line.

The new rows cover two Host fields, control characters in fields, a head above the limit, and bodies of methods for which the codec refuses them.

Fix: a filter before the codec finds the ends of requests by its own strict reading and passes on only what it has checked, each head in one array. Both readers therefore agree on the end of each request. Nothing behind a broken request is read. It is answered by 400, or, if a response is under way, by the close of the connection after that response. A body that Grizzly marks as broken and last is no longer taken for a whole one.

A chunk extension is still refused, as the codec did before.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServer.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServer.java
@@ -57,6 +57,7 @@
 		this.transport.setProcessor(FilterChainBuilder.stateless()
 			.add(new TransportFilter())
 			.add(new FirstByteFilter(this.filter))
+			.add(new RequestFramingFilter(this.filter::handleBrokenRequest))
 			.add(httpServerFilter())
 			.add(this.filter)
 			.build());
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -41,6 +41,9 @@
 	 */
 	private Optional<NextRequest> nextRequest = Optional.empty();
 
+	/** Whether no request can be read any more, since the last one was broken. */
+	private boolean broken;
+
 	/** Whether the first bytes of the next request have arrived. */
 	private boolean requestStarted;
 
@@ -61,6 +64,10 @@
 	}
 
 	void handleContent(FilterChainContext context, HttpContent content) throws IOException {
+		// Grizzly marks a broken body as the last part of its request.
+		if (HttpContent.isBroken(content)) {
+			return;
+		}
 		HttpRequestPacket packet = (HttpRequestPacket) content.getHttpHeader();
 		sendContinueIfExpected(context, packet);
 		RelayRequest request;
@@ -107,6 +114,15 @@
 		return next;
 	}
 
+	/**
+	 * Closes the connection once the response under way has ended.
+	 * @return false if no response is under way
+	 */
+	synchronized boolean closeAfterResponse() {
+		this.broken = true;
+		return this.currentResponse != null;
+	}
+
 	private static void sendContinueIfExpected(FilterChainContext context, HttpRequestPacket packet) {
 		if (!packet.requiresAcknowledgement()) {
 			return;
@@ -214,7 +230,8 @@
 				RelayServerConnection.this.currentResponse = null;
 				RelayServerConnection.this.timeoutStartNanos = System.nanoTime();
 				send(NO_BODY, true);
-				boolean closing = RelayServerConnection.this.draining.getAsBoolean();
+				boolean closing = RelayServerConnection.this.draining.getAsBoolean()
+						|| RelayServerConnection.this.broken && RelayServerConnection.this.nextRequest.isEmpty();
 				// A response that had started before draining began carries no
 				// "Connection: close"; its connection is closed nonetheless.
 				if (closing) {
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerFilter.java
@@ -44,6 +44,13 @@
 		return created;
 	}
 
+	// An error response must not end up in the middle of the response under way.
+	void handleBrokenRequest(FilterChainContext context) {
+		if (!findOrCreate(context.getConnection()).closeAfterResponse()) {
+			RequestFramingFilter.sendBadRequest(context);
+		}
+	}
+
 	void closeAfterResponses() {
 		this.draining = true;
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/http/RequestFramingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RequestFramingTest.java
@@ -129,7 +129,10 @@
 				request("Content-Length: 2\r\nContent-Length: 3", "ab"),
 				request("Content-Length: 3\r\nContent-Length: 2", "ab"), request("Content-Length : 2", "ab"),
 				request("Content-Length:\r\n 2", "ab"), request("no colon", ""), request("X-A: a\rb", ""),
-				"rubbish\r\n\r\n", "GET /a\r\n\r\n", "GET /a HTTP/1.1\r\n\r\n", "GET /a HTTP/3.7\r\nHost: h\r\n\r\n")
+				"rubbish\r\n\r\n", "GET /a\r\n\r\n", "GET /a HTTP/1.1\r\n\r\n", "GET /a HTTP/3.7\r\nHost: h\r\n\r\n",
+				"GET /a HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n",
+				"GET /a HTTP/1.1\r\nHost: h\r\nX-A: a\0b\r\n\r\n", "GET /a HTTP/1.1\r\n X-A: a\r\nHost: h\r\n\r\n",
+				"GET /a HTTP/1.1\r\nHost: h\r\nX-A: " + "a".repeat(80_000))
 			.flatMap((text) -> Stream.of(Arguments.of(text, false), Arguments.of(text, true)));
 	}
 
@@ -228,6 +231,12 @@
 			"POST /a HTTP/1.1\r\nHost: h\r\nExpect: nothing\r\n\r\n",
 			"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
 			"GET /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+			"GET /a HTTP/1.1\r\nHost: h:abc\r\n\r\n", "GET http://h:abc/a HTTP/1.1\r\nHost: h\r\n\r\n",
+			"HEAD /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+			"DELETE /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+			"OPTIONS /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+			"QUERY /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+			"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nab\r\n0\r\n\r\n",
 			"GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab" })
 	void leavesResponseUnderWayUnchanged(String next) throws Exception {
 		for (boolean bytewise : new boolean[] { false, true }) {
