Send 100 Continue after the response under way

What callers saw: 100 Continue in the middle of the chunks of a response, which a client cannot read any further.

Cause: the interim response was written as soon as the head of the next request arrived, also while the response before it was under way.

Fix: the interim response waits for the end of the response under way, and is dropped if the request has been received completely by then.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -44,6 +44,12 @@
 	/** Whether no request can be read any more, since the last one was broken. */
 	private boolean broken;
 
+	/**
+	 * Sends 100 Continue for the request being read, once the response under way has
+	 * ended.
+	 */
+	private Optional<Runnable> pendingContinue = Optional.empty();
+
 	/** Whether the first bytes of the next request have arrived. */
 	private boolean requestStarted;
 
@@ -84,6 +90,7 @@
 			byte[] completeBody = (this.requestBody.size() > 0) ? this.requestBody.toByteArray() : NO_BODY;
 			this.requestBody = new ByteArrayOutputStream(0);
 			this.requestStarted = false;
+			this.pendingContinue = Optional.empty();
 			request = new RelayRequest(packet.getMethod().getMethodString(), requestTarget(packet),
 					Headers.copyOf(packet.getHeaders()), completeBody);
 			response = new Response(packet, context.copy());
@@ -123,10 +130,27 @@
 		return this.currentResponse != null;
 	}
 
-	private static void sendContinueIfExpected(FilterChainContext context, HttpRequestPacket packet) {
+	private void sendContinueIfExpected(FilterChainContext context, HttpRequestPacket packet) {
 		if (!packet.requiresAcknowledgement()) {
 			return;
 		}
+		synchronized (this) {
+			if (this.currentResponse != null) {
+				FilterChainContext laterContext = context.copy();
+				this.pendingContinue = Optional.of(() -> sendContinue(laterContext, packet));
+				return;
+			}
+		}
+		sendContinue(context, packet);
+	}
+
+	private Optional<Runnable> takePendingContinue() {
+		Optional<Runnable> pending = this.pendingContinue;
+		this.pendingContinue = Optional.empty();
+		return pending;
+	}
+
+	private static void sendContinue(FilterChainContext context, HttpRequestPacket packet) {
 		HttpResponsePacket response = packet.getResponse();
 		response.setStatus(HttpStatus.CONINTUE_100);
 		response.setAcknowledgement(true);
@@ -222,6 +246,7 @@
 		@Override
 		public void end() {
 			Optional<NextRequest> next;
+			Optional<Runnable> nextContinue;
 			synchronized (RelayServerConnection.this) {
 				if (this.clientDisconnected || this.ended) {
 					return;
@@ -239,7 +264,9 @@
 				}
 				this.context.notifyDownstream(HttpServerFilter.RESPONSE_COMPLETE_EVENT);
 				next = closing ? Optional.empty() : takeNextRequest();
+				nextContinue = (closing || next.isPresent()) ? Optional.empty() : takePendingContinue();
 			}
+			nextContinue.ifPresent(Runnable::run);
 			next.ifPresent((queued) -> RelayServerConnection.this.handler.handle(queued.request(), queued.response()));
 		}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RelayTest.java
@@ -154,6 +154,32 @@
 		}
 	}
 
+	/**
+	 * Fails if a client that expects 100 Continue while the response before it is under
+	 * way receives it within that response, or never.
+	 */
+	@Test
+	void sends100ContinueAfterResponseUnderWay() throws Exception {
+		int port = freePort();
+		BlockingQueue<ResponseWriter> responses = new LinkedBlockingQueue<>();
+		try (RelayServer server = new RelayServer(new Address("127.0.0.1", port), (request, response) -> {
+			response.setHead(new ResponseHead(200, Headers.NONE, OptionalLong.empty()));
+			response.write(request.target().getBytes(StandardCharsets.UTF_8));
+			responses.add(response);
+		})) {
+			server.start();
+			try (Socket socket = RawHttp.connect(port)) {
+				RawHttp.send(socket, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nPOST /next HTTP/1.1\r\nHost: h\r\n"
+						+ "Content-Length: 2\r\nExpect: 100-continue\r\n\r\n", false);
+				responses.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).end();
+				assertThat(readUntil(socket, "0\r\n\r\n")).endsWith("6\r\n/first\r\n0\r\n\r\n");
+				assertThat(readUntil(socket, "\r\n\r\n")).isEqualTo("HTTP/1.1 100 Continue\r\n\r\n");
+				RawHttp.send(socket, "ab", false);
+				assertThat(readUntil(socket, "/next\r\n")).contains(" 200 ");
+			}
+		}
+	}
+
 	/**
 	 * Fails if the connection of an idle client, or of one that never completes its
 	 * request, stays open.
