Check the framing of requests on the product's own listener

What callers saw: calls of the front end and of siblings with a misread body were handled with an empty or shortened one, and the rest of the body as another call.

Cause: HttpListener uses the codec of Grizzly, as RelayServer does.

Fix: the same filter before the codec. The connection of a broken request is closed without a response, since its handler may have responded already without reading the body; a handler that reads the body gets an exception.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpListener.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpListener.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -48,9 +50,17 @@
 				.setCorePoolSize(workerThreads)
 				.setMaxPoolSize(workerThreads));
 		this.listener.getTransport().setTcpNoDelay(true);
+		this.listener.registerAddOn((networkListener, filters) -> filters
+			.add(filters.indexOfType(HttpServerFilter.class), new RequestFramingFilter(HttpListener::closeConnection)));
 		this.server.addListener(this.listener);
 	}
 
+	// A handler that has not read the body may have responded already, so that a response
+	// of status 400 would follow its response.
+	private static void closeConnection(FilterChainContext context) {
+		context.getConnection().closeSilently();
+	}
+
 	/**
 	 * Registers a handler.
 	 * @param handler the handler, not null
