Skip interim responses on both HTTP clients

What callers saw: after 102 or 103 the interim status as the response, and the response itself, head included, as its body, which the close completed. A 100 Continue that arrived in several reads failed the response behind it. 101 was passed on, though no upgrade had been requested.

Cause: Grizzly's codec skips only status 100, and only if it arrives in one read.

Fix: a filter before the codec holds the head of a response until it is complete, drops interim heads, fails on 101 and on more than 64 KiB before the body, and passes the head of the response on in one array, as the codec reads names of transfer encodings by case in any other buffer.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -70,6 +70,7 @@
 			.build();
 		this.transport.setProcessor(FilterChainBuilder.stateless()
 			.add(new TransportFilter())
+			.add(new InterimResponseFilter())
 			.add(new HttpClientFilter())
 			.add(new HttpExchangeFilter())
 			.build());
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayClient.java
@@ -36,6 +36,7 @@
 			.build();
 		this.transport.setProcessor(FilterChainBuilder.stateless()
 			.add(new ResetAwareTransportFilter())
+			.add(new InterimResponseFilter())
 			.add(new HttpClientFilter())
 			.add(new RelayClientFilter())
 			.build());
--- a/mulberrycross/src/test/java/org/mulberrycross/http/InterimResponseTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/InterimResponseTest.java
@@ -49,6 +49,9 @@
 					new String[] { "HTTP/1.1 199 Other\r\n\r\n" + FINAL, "200 ab" },
 					new String[] { "HTTP/1.1 100\r\n\r\n" + FINAL, "200 ab" },
 					new String[] { "HTTP/1.1 100 Continue\n\n" + FINAL, "200 ab" },
+					new String[] { "HTTP/1.1  103 Early Hints\r\n\r\n" + FINAL, "200 ab" },
+					new String[] { "\r\n" + EARLY_HINTS + FINAL, FAILED },
+					new String[] { EARLY_HINTS + "\r\n" + FINAL, FAILED },
 					new String[] {
 							EARLY_HINTS + "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
 							"200 ab" },
