--- a/mulberrycross/src/main/java/org/mulberrycross/http/ChunkDecoder.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/ChunkDecoder.java
@@ -5,8 +5,8 @@
 import org.glassfish.grizzly.memory.Buffers;
 
 /**
- * Decodes the chunks of one response body as they arrive. Accepts CRLF as the only line
- * end, so that a chunk that is longer than its size cannot be taken for the next one. Not
+ * Decodes the chunks of one body as they arrive. Accepts CRLF as the only line end, so
+ * that a chunk that is longer than its size cannot be taken for the next one. Not
  * thread-safe.
  */
 final class ChunkDecoder {
@@ -16,6 +16,8 @@
 
 	private final int maxLineBytes;
 
+	private final boolean extensionsAllowed;
+
 	private State state = State.SIZE;
 
 	private long remainingBytes;
@@ -25,8 +27,14 @@
 	/** Bytes of the current chunk's size line, or of all trailers. */
 	private int lineBytes;
 
-	ChunkDecoder(int maxLineBytes) {
+	/**
+	 * Creates a decoder.
+	 * @param maxLineBytes the maximum size of a size line, and of all trailers
+	 * @param extensionsAllowed whether spaces and extensions may follow a size
+	 */
+	ChunkDecoder(int maxLineBytes, boolean extensionsAllowed) {
 		this.maxLineBytes = maxLineBytes;
+		this.extensionsAllowed = extensionsAllowed;
 	}
 
 	boolean isComplete() {
@@ -95,10 +103,10 @@
 	}
 
 	private State afterSize(byte value) {
-		if (isSpace(value)) {
+		if (this.extensionsAllowed && isSpace(value)) {
 			return State.SIZE_SPACE;
 		}
-		return (value == ';') ? State.EXTENSION : require(value, '\r', State.SIZE_LF);
+		return (this.extensionsAllowed && value == ';') ? State.EXTENSION : require(value, '\r', State.SIZE_LF);
 	}
 
 	private State afterSizeLine(byte value) {
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -69,6 +69,7 @@
 			.build();
 		this.transport.setProcessor(FilterChainBuilder.stateless()
 			.add(new TransportFilter())
+			.add(new InterimResponseFilter())
 			.add(new ResponseCodecFilter(HttpExchangeFilter::fail))
 			.add(new HttpExchangeFilter())
 			.build());
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayClient.java
@@ -35,6 +35,7 @@
 			.build();
 		this.transport.setProcessor(FilterChainBuilder.stateless()
 			.add(new ResetAwareTransportFilter())
+			.add(new InterimResponseFilter())
 			.add(new ResponseCodecFilter(RelayClientFilter::fail))
 			.add(new RelayClientFilter())
 			.build());
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -41,6 +41,15 @@
 	 */
 	private Optional<NextRequest> nextRequest = Optional.empty();
 
+	/** Whether no request can be read any more, since the last one was broken. */
+	private boolean broken;
+
+	/**
+	 * Sends 100 Continue for the request being read, once the response under way has
+	 * ended.
+	 */
+	private Optional<Runnable> pendingContinue = Optional.empty();
+
 	/** Whether the first bytes of the next request have arrived. */
 	private boolean requestStarted;
 
@@ -61,6 +70,10 @@
 	}
 
 	void handleContent(FilterChainContext context, HttpContent content) throws IOException {
+		// Grizzly marks a broken body as the last part of its request.
+		if (HttpContent.isBroken(content)) {
+			return;
+		}
 		HttpRequestPacket packet = (HttpRequestPacket) content.getHttpHeader();
 		sendContinueIfExpected(context, packet);
 		RelayRequest request;
@@ -77,6 +90,7 @@
 			byte[] completeBody = (this.requestBody.size() > 0) ? this.requestBody.toByteArray() : NO_BODY;
 			this.requestBody = new ByteArrayOutputStream(0);
 			this.requestStarted = false;
+			this.pendingContinue = Optional.empty();
 			request = new RelayRequest(packet.getMethod().getMethodString(), requestTarget(packet),
 					Headers.copyOf(packet.getHeaders()), completeBody);
 			response = new Response(packet, context.copy());
@@ -107,10 +121,36 @@
 		return next;
 	}
 
-	private static void sendContinueIfExpected(FilterChainContext context, HttpRequestPacket packet) {
+	/**
+	 * Closes the connection once the response under way has ended.
+	 * @return false if no response is under way
+	 */
+	synchronized boolean closeAfterResponse() {
+		this.broken = true;
+		return this.currentResponse != null;
+	}
+
+	private void sendContinueIfExpected(FilterChainContext context, HttpRequestPacket packet) {
 		if (!packet.requiresAcknowledgement()) {
 			return;
 		}
+		synchronized (this) {
+			if (this.currentResponse != null) {
+				FilterChainContext laterContext = context.copy();
+				this.pendingContinue = Optional.of(() -> sendContinue(laterContext, packet));
+				return;
+			}
+		}
+		sendContinue(context, packet);
+	}
+
+	private Optional<Runnable> takePendingContinue() {
+		Optional<Runnable> pending = this.pendingContinue;
+		this.pendingContinue = Optional.empty();
+		return pending;
+	}
+
+	private static void sendContinue(FilterChainContext context, HttpRequestPacket packet) {
 		HttpResponsePacket response = packet.getResponse();
 		response.setStatus(HttpStatus.CONINTUE_100);
 		response.setAcknowledgement(true);
@@ -206,6 +246,7 @@
 		@Override
 		public void end() {
 			Optional<NextRequest> next;
+			Optional<Runnable> nextContinue;
 			synchronized (RelayServerConnection.this) {
 				if (this.clientDisconnected || this.ended) {
 					return;
@@ -214,7 +255,8 @@
 				RelayServerConnection.this.currentResponse = null;
 				RelayServerConnection.this.timeoutStartNanos = System.nanoTime();
 				send(NO_BODY, true);
-				boolean closing = RelayServerConnection.this.draining.getAsBoolean();
+				boolean closing = RelayServerConnection.this.draining.getAsBoolean()
+						|| RelayServerConnection.this.broken && RelayServerConnection.this.nextRequest.isEmpty();
 				// A response that had started before draining began carries no
 				// "Connection: close"; its connection is closed nonetheless.
 				if (closing) {
@@ -222,7 +264,9 @@
 				}
 				this.context.notifyDownstream(HttpServerFilter.RESPONSE_COMPLETE_EVENT);
 				next = closing ? Optional.empty() : takeNextRequest();
+				nextContinue = (closing || next.isPresent()) ? Optional.empty() : takePendingContinue();
 			}
+			nextContinue.ifPresent(Runnable::run);
 			next.ifPresent((queued) -> RelayServerConnection.this.handler.handle(queued.request(), queued.response()));
 		}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/http/StrictChunkedEncoding.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/StrictChunkedEncoding.java
@@ -29,7 +29,7 @@
 
 	// Codec objects are reused for later messages, which must not find an earlier state.
 	void startMessage(HttpHeader header) {
-		DECODER_ATTRIBUTE.set(header, new ChunkDecoder(this.maxLineBytes));
+		DECODER_ATTRIBUTE.set(header, new ChunkDecoder(this.maxLineBytes, true));
 	}
 
 	@Override
--- a/mulberrycross/src/test/java/org/mulberrycross/http/ChunkDecoderTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/ChunkDecoderTest.java
@@ -20,7 +20,7 @@
 	 */
 	@Test
 	void staysFailedAfterMalformedChunk() {
-		ChunkDecoder decoder = new ChunkDecoder(8);
+		ChunkDecoder decoder = new ChunkDecoder(8, true);
 		assertThat(decoder.decode(buffer("2\r\nab")).toStringContent()).isEqualTo("ab");
 		assertThrows(HttpBrokenContentException.class, () -> decoder.decode(buffer("c")));
 		assertThrows(HttpBrokenContentException.class, () -> decoder.decode(buffer("\r\n0\r\n\r\n")));
@@ -30,8 +30,9 @@
 	/** Fails if an extension or the trailers can grow without a limit. */
 	@Test
 	void failsLineOverLimit() {
-		assertThrows(HttpBrokenContentException.class, () -> new ChunkDecoder(8).decode(buffer("1;234567\r\n")));
-		assertThrows(HttpBrokenContentException.class, () -> new ChunkDecoder(8).decode(buffer("0\r\nA:\r\nBC:\r\n")));
+		assertThrows(HttpBrokenContentException.class, () -> new ChunkDecoder(8, true).decode(buffer("1;234567\r\n")));
+		assertThrows(HttpBrokenContentException.class,
+				() -> new ChunkDecoder(8, true).decode(buffer("0\r\nA:\r\nBC:\r\n")));
 	}
 
 	private static Buffer buffer(String text) {
