--- a/mulberrycross/src/test/java/org/mulberrycross/http/ResponseFramingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/ResponseFramingTest.java
@@ -76,6 +76,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\n2\r\nab\r\n",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nab", "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\r\nab",
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nab\r\n",
 			"HTTP/1.1 200 OK\r\n Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
