Fail a response at once if a part of it cannot be processed

Cause: after an exception in a listener the filter chain closes the connection only some milliseconds later and decodes what arrives until then, as a trial with the codec's own exceptions showed (a further read 5 ms after the exception, then a complete reply). A response would lack a part and look complete. Evidence: CloseDelimitedResponseTest#failsResponseWithoutUnprocessedPart failed before, as the failure came from the close and did not name the exception; a response that completed after an exception of a listener was not seen. Both clients now fail the call where the exception arises and close its connection.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
@@ -43,7 +43,7 @@
 		HttpContent content = context.getMessage();
 		HttpExchange exchange = EXCHANGE_ATTRIBUTE.get(context.getConnection());
 		if (exchange != null) {
-			exchange.handleContent(content);
+			handleContent(context.getConnection(), exchange, content);
 		}
 		else {
 			// An unsolicited response would be taken for the next request's response.
@@ -53,6 +53,18 @@
 		return context.getStopAction();
 	}
 
+	private static void handleContent(Connection<?> connection, HttpExchange exchange, HttpContent content) {
+		try {
+			exchange.handleContent(content);
+		}
+		catch (RuntimeException ex) {
+			// The filter chain would go on with the next part until it closes the
+			// connection, and a reply without this part would look complete.
+			exchange.fail(ex);
+			connection.closeSilently();
+		}
+	}
+
 	@Override
 	public NextAction handleClose(FilterChainContext context) throws IOException {
 		HttpExchange exchange = EXCHANGE_ATTRIBUTE.get(context.getConnection());
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayClientFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayClientFilter.java
@@ -31,7 +31,15 @@
 		HttpContent content = context.getMessage();
 		RelayCall call = CALL_ATTRIBUTE.get(context.getConnection());
 		if (call != null) {
-			call.handleContent(context.getConnection(), content);
+			try {
+				call.handleContent(context.getConnection(), content);
+			}
+			catch (RuntimeException ex) {
+				// The filter chain would go on with the next part until it closes the
+				// connection, and a response without this part would look complete.
+				call.fail("response cannot be processed: " + ex);
+				context.getConnection().terminateSilently();
+			}
 		}
 		content.recycle();
 		return context.getStopAction();
--- a/mulberrycross/src/test/java/org/mulberrycross/http/CloseDelimitedResponseTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/CloseDelimitedResponseTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -78,6 +79,28 @@
 		assertThat(end).startsWith("failed");
 	}
 
+	/**
+	 * Fails if a response completes after a part of it could not be processed, and so was
+	 * left out.
+	 */
+	@Test
+	void failsResponseWithoutUnprocessedPart() throws Exception {
+		AtomicBoolean failed = new AtomicBoolean();
+		byte[] response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n"
+			.getBytes(StandardCharsets.UTF_8);
+		String end = send(response, 0, () -> new Recorder() {
+
+			@Override
+			public void onData(byte[] part) {
+				if (failed.compareAndSet(false, true)) {
+					throw new IllegalStateException("cannot process");
+				}
+			}
+
+		}, (socket) -> socket.getInputStream().read());
+		assertThat(end).contains("cannot process");
+	}
+
 	/**
 	 * Fails if a response counts as complete because this side closes its connections.
 	 */
@@ -85,7 +108,7 @@
 	void failsResponseWhenClientIsClosed() throws Exception {
 		RelayClient client = new RelayClient();
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			CompletableFuture<Void> upstream = respond(server, (socket) -> socket.getInputStream().read());
+			CompletableFuture<Void> upstream = respond(server, RESPONSE, (socket) -> socket.getInputStream().read());
 			start(client, server, 0, new Recorder());
 			assertThat(this.received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isNotNull();
 			client.close();
@@ -96,9 +119,14 @@
 
 	// Returns how a response ended whose connection the upstream closes in the given way.
 	private String send(int requestBytes, ListenerFactory listener, SocketAction beforeClose) throws Exception {
+		return send(RESPONSE, requestBytes, listener, beforeClose);
+	}
+
+	private String send(byte[] response, int requestBytes, ListenerFactory listener, SocketAction beforeClose)
+			throws Exception {
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
 				RelayClient client = new RelayClient()) {
-			CompletableFuture<Void> upstream = respond(server, beforeClose);
+			CompletableFuture<Void> upstream = respond(server, response, beforeClose);
 			start(client, server, requestBytes, listener.create());
 			String end = this.events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
 			upstream.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -111,11 +139,11 @@
 				Headers.of(List.of(new HeaderField("Host", "h"))), new byte[requestBytes]), listener);
 	}
 
-	private static CompletableFuture<Void> respond(ServerSocket server, SocketAction beforeClose) {
+	private static CompletableFuture<Void> respond(ServerSocket server, byte[] response, SocketAction beforeClose) {
 		return CompletableFuture.runAsync(() -> {
 			try (Socket socket = server.accept()) {
 				socket.getInputStream().read(new byte[1024]);
-				socket.getOutputStream().write(RESPONSE);
+				socket.getOutputStream().write(response);
 				beforeClose.run(socket);
 			}
 			catch (IOException ex) {
