--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
@@ -183,27 +183,6 @@
 		assertThat(this.failures).isEmpty();
 	}
 
-	/** Takes every response for a signed one of the upstream. */
-	private static final class SignedFormat implements MessageFormat {
-
-		@Override
-		public ClientCall decodeRequest(RelayRequest request) {
-			throw new AssertionError("not called");
-		}
-
-		@Override
-		public RelayRequest encodeRequest(RelayRequest request, Forwarding forwarding) {
-			return request;
-		}
-
-		@Override
-		public UpstreamResponseHead decodeResponseHead(ResponseHead head) {
-			return new UpstreamResponseHead(Optional.empty(), true, false, false, Optional.empty(), false, false,
-					Optional.empty());
-		}
-
-	}
-
 	/** Records the reasons of failures. */
 	private final class RecordingListener implements AttemptListener {
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/StreamEndTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/StreamEndTest.java
@@ -106,27 +106,6 @@
 		assertThat(this.writer.written()).contains("end");
 	}
 
-	/** Takes every response for a signed one of the upstream. */
-	private static final class SignedFormat implements MessageFormat {
-
-		@Override
-		public ClientCall decodeRequest(RelayRequest request) {
-			throw new AssertionError("not called");
-		}
-
-		@Override
-		public RelayRequest encodeRequest(RelayRequest request, Forwarding forwarding) {
-			return request;
-		}
-
-		@Override
-		public UpstreamResponseHead decodeResponseHead(ResponseHead head) {
-			return new UpstreamResponseHead(Optional.empty(), true, false, false, Optional.empty(), false, false,
-					Optional.empty());
-		}
-
-	}
-
 	/** Records how attempts end. */
 	private final class RecordingListener implements AttemptListener {
 
