--- a/mulberrycross/src/main/java/org/mulberrycross/http/ResponseFraming.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/ResponseFraming.java
@@ -27,6 +27,8 @@
 	/** Keeps lengths within the range of a long. */
 	private static final int MAX_LENGTH_DIGITS = 18;
 
+	private static final char DELETE = 0x7f;
+
 	/** Characters of a field name besides letters and digits. */
 	private static final String NAME_SYMBOLS = "!#$%&'*+-.^_`|~";
 
@@ -78,7 +80,10 @@
 		for (int i = 0; i < fields.size(); i++) {
 			DataChunk name = fields.getName(i);
 			if (!isName(name.toString())) {
-				return Optional.of("invalid header name \"" + name + '"');
+				return Optional.of("invalid header name");
+			}
+			if (!isValue(fields.getValue(i).toString())) {
+				return Optional.of("control character in header " + name);
 			}
 			if (name.equalsIgnoreCase(TRANSFER_ENCODING)) {
 				if (transferEncoding.isPresent()) {
@@ -127,6 +132,11 @@
 		return !text.isEmpty() && text.length() <= MAX_LENGTH_DIGITS && text.chars().allMatch(ResponseFraming::isDigit);
 	}
 
+	// A lone CR ends a line for some parsers, so that the rest could be another field.
+	private static boolean isValue(String text) {
+		return text.chars().allMatch((character) -> character == '\t' || (character >= ' ' && character != DELETE));
+	}
+
 	private static boolean isName(String text) {
 		return !text.isEmpty() && text.chars().allMatch(ResponseFraming::isNameCharacter);
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/http/ResponseFramingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/ResponseFramingTest.java
@@ -85,6 +85,8 @@
 			"HTTP/1.1 200 OK\r\nContent-Length: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
 			"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
 			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab",
+			"HTTP/1.1 200 OK\r\nX: a\r\rTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nX: a\rContent-Length: 9\r\n\r\nab",
 			"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nabc",
 			"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nab", "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nab",
 			"HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nab", "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nab",
