Answer a broken head on the product's own listener with status 400

Found by the review: the check of the framing closed the connection without a response, where the codec had answered 400 before; a caller could not tell that from a crash. The connection is still closed silently once a request has been passed on, since its response may be under way. RequestFramingTest#answersBrokenHeadOnListener failed before (2 of 2).

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpListener.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpListener.java
@@ -51,14 +51,18 @@
 				.setMaxPoolSize(workerThreads));
 		this.listener.getTransport().setTcpNoDelay(true);
 		this.listener.registerAddOn((networkListener, filters) -> filters
-			.add(filters.indexOfType(HttpServerFilter.class), new RequestFramingFilter(HttpListener::closeConnection)));
+			.add(filters.indexOfType(HttpServerFilter.class), new RequestFramingFilter(HttpListener::refuse)));
 		this.server.addListener(this.listener);
 	}
 
-	// A handler that has not read the body may have responded already, so that a response
-	// of status 400 would follow its response.
-	private static void closeConnection(FilterChainContext context) {
-		context.getConnection().closeSilently();
+	// A handler may be responding to a request before this one, or to this one before it
+	// has read the body, so that a response of status 400 would end up in its response.
+	private static void refuse(FilterChainContext context, boolean requestStarted) {
+		if (requestStarted) {
+			context.getConnection().closeSilently();
+			return;
+		}
+		RequestFramingFilter.sendBadRequest(context);
 	}
 
 	/**
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerFilter.java
@@ -45,7 +45,7 @@
 	}
 
 	// An error response must not end up in the middle of the response under way.
-	void handleBrokenRequest(FilterChainContext context) {
+	void handleBrokenRequest(FilterChainContext context, boolean requestStarted) {
 		if (!findOrCreate(context.getConnection()).closeAfterResponse()) {
 			RequestFramingFilter.sendBadRequest(context);
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RequestFraming.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RequestFraming.java
@@ -14,7 +14,7 @@
  */
 final class RequestFraming {
 
-	/** Maximum size of a head; the codec refuses larger ones by its own response. */
+	/** Maximum size of a head; below that of the codec, which would respond by itself. */
 	private static final int MAX_HEAD_BYTES = (64 << 10) - 1;
 
 	/** Maximum size of all trailer fields. */
@@ -30,6 +30,9 @@
 	/** Bytes left of a body with a length. */
 	private long remaining;
 
+	/** Whether the head of a request has been accepted. */
+	private boolean requestStarted;
+
 	private ChunkDecoder chunks = newChunkDecoder();
 
 	/**
@@ -76,6 +79,14 @@
 		return this.state == State.BROKEN;
 	}
 
+	/**
+	 * Returns whether a request has been passed on, to which a response may be under way.
+	 * @return true if a sound head has been received on this connection
+	 */
+	boolean hasRequestStarted() {
+		return this.requestStarted;
+	}
+
 	/**
 	 * Returns how much of an incomplete head has been received.
 	 * @return the number of bytes, without blank lines before the head
@@ -138,6 +149,7 @@
 		if (parsed.isEmpty()) {
 			return State.BROKEN;
 		}
+		this.requestStarted = true;
 		this.remaining = parsed.get().contentLength();
 		this.chunks = newChunkDecoder();
 		if (parsed.get().chunked()) {
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RequestFramingFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RequestFramingFilter.java
@@ -69,7 +69,7 @@
 		int end = framing.read(buffer);
 		if (framing.isBroken()) {
 			buffer.tryDispose();
-			this.brokenRequestHandler.handle(context);
+			this.brokenRequestHandler.handle(context, framing.hasRequestStarted());
 			return context.getStopAction();
 		}
 		if (framing.isHeadIncomplete()) {
@@ -110,8 +110,10 @@
 		/**
 		 * Handles a broken request, of which nothing more is passed on.
 		 * @param context the context in which the request was read, not null
+		 * @param requestStarted whether a request has been passed on before, or the head
+		 * of this one
 		 */
-		void handle(FilterChainContext context);
+		void handle(FilterChainContext context, boolean requestStarted);
 
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/http/RequestFramingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RequestFramingTest.java
@@ -154,6 +154,16 @@
 		assertRefused(listener.port(), broken, bytewise);
 	}
 
+	/** Fails if the sender of a broken head cannot tell the refusal from a crash. */
+	@ParameterizedTest
+	@ValueSource(strings = { "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3, 3\r\n\r\n" })
+	void answersBrokenHeadOnListener(String broken) throws Exception {
+		try (Socket socket = RawHttp.connect(listener.port())) {
+			RawHttp.send(socket, broken, false);
+			assertThat(RawHttp.readToClose(socket)).startsWith("HTTP/1.1 400 ");
+		}
+	}
+
 	private static void assertRefused(int port, String broken, boolean bytewise) throws Exception {
 		try (Socket socket = RawHttp.connect(port)) {
 			RawHttp.send(socket, broken + SMUGGLED, bytewise);
