Close the connection if a handler fails after its response has begun

No handler of the product is known to reach this. HttpListenerTest#responseOfFailedHandlerIsNotComplete failed before.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/ExchangeCounter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/ExchangeCounter.java
@@ -42,12 +42,25 @@
 				if (ExchangeCounter.this.draining) {
 					response.setHeader("Connection", "close");
 				}
-				handler.service(request, response);
+				serviceOrClose(handler, request, response);
 			}
 
 		};
 	}
 
+	// The server would end a response that has begun as if it were whole.
+	private static void serviceOrClose(HttpHandler handler, Request request, Response response) throws Exception {
+		try {
+			handler.service(request, response);
+		}
+		catch (Exception ex) {
+			if (response.isCommitted()) {
+				request.getContext().getConnection().terminateSilently();
+			}
+			throw ex;
+		}
+	}
+
 	void startDraining() {
 		this.draining = true;
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/http/HttpListenerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/HttpListenerTest.java
@@ -1,6 +1,7 @@
 package org.mulberrycross.http;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
@@ -95,6 +96,19 @@
 		}
 	}
 
+	/** Fails if a response that its handler breaks off is ended as if it were whole. */
+	@Test
+	void responseOfFailedHandlerIsNotComplete() throws Exception {
+		try (HttpListener listener = listener((request, response) -> {
+			response.getOutputStream().write("part".getBytes(StandardCharsets.UTF_8));
+			response.flush();
+			throw new IllegalStateException("failed after the start of the response");
+		}); Socket socket = RawHttp.connect(listener.port())) {
+			RawHttp.send(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false);
+			assertThat(RawHttp.readToClose(socket)).doesNotContain("0\r\n\r\n");
+		}
+	}
+
 	/** Fails if a request that was sent but got no response is reported as not run. */
 	@Test
 	void missingResponseHasUnknownOutcome() throws Exception {
