Send a delayed 100 Continue before the next response may start

Found by the review, by reading: the interim response uses the packet of the response that follows it, and was written after the lock was released. Not reproduced.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -246,7 +246,6 @@
 		@Override
 		public void end() {
 			Optional<NextRequest> next;
-			Optional<Runnable> nextContinue;
 			synchronized (RelayServerConnection.this) {
 				if (this.clientDisconnected || this.ended) {
 					return;
@@ -256,7 +255,7 @@
 				RelayServerConnection.this.timeoutStartNanos = System.nanoTime();
 				send(NO_BODY, true);
 				boolean closing = RelayServerConnection.this.draining.getAsBoolean()
-						|| RelayServerConnection.this.broken && RelayServerConnection.this.nextRequest.isEmpty();
+						|| (RelayServerConnection.this.broken && RelayServerConnection.this.nextRequest.isEmpty());
 				// A response that had started before draining began carries no
 				// "Connection: close"; its connection is closed nonetheless.
 				if (closing) {
@@ -264,9 +263,12 @@
 				}
 				this.context.notifyDownstream(HttpServerFilter.RESPONSE_COMPLETE_EVENT);
 				next = closing ? Optional.empty() : takeNextRequest();
-				nextContinue = (closing || next.isPresent()) ? Optional.empty() : takePendingContinue();
+				// The next response uses the same packet as this interim one, and may not
+				// start before it is written.
+				if (!closing && next.isEmpty()) {
+					takePendingContinue().ifPresent(Runnable::run);
+				}
 			}
-			nextContinue.ifPresent(Runnable::run);
 			next.ifPresent((queued) -> RelayServerConnection.this.handler.handle(queued.request(), queued.response()));
 		}
 
