Close a pooled connection on bytes after its reply

Status 205 counts as without a body, as in the codec, and the reason of an unreadable response is given without the class of the exception, since clients may receive it.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
@@ -42,11 +42,12 @@
 	public NextAction handleRead(FilterChainContext context) throws IOException {
 		HttpContent content = context.getMessage();
 		HttpExchange exchange = EXCHANGE_ATTRIBUTE.get(context.getConnection());
-		if (exchange != null) {
+		if (exchange != null && !exchange.reply().isDone()) {
 			handleContent(context.getConnection(), exchange, content);
 		}
 		else {
-			// An unsolicited response would be taken for the next request's response.
+			// Bytes after a reply, or without a request, would be taken for the next
+			// reply.
 			context.getConnection().closeSilently();
 		}
 		content.recycle();
@@ -58,8 +59,7 @@
 			exchange.handleContent(content);
 		}
 		catch (RuntimeException ex) {
-			// The filter chain would go on with the next part until it closes the
-			// connection, and a reply without this part would look complete.
+			// As in RelayClientFilter, a reply without this part would look complete.
 			exchange.fail(ex);
 			connection.closeSilently();
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayClientFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayClientFilter.java
@@ -22,7 +22,7 @@
 	static void fail(Connection<?> connection, Throwable error) {
 		RelayCall call = CALL_ATTRIBUTE.get(connection);
 		if (call != null) {
-			call.fail("response cannot be read: " + error);
+			call.fail("response cannot be read: " + error.getMessage());
 		}
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/http/ResponseHead.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/ResponseHead.java
@@ -15,6 +15,8 @@
 
 	private static final int NO_CONTENT = 204;
 
+	private static final int RESET_CONTENT = 205;
+
 	private static final int NOT_MODIFIED = 304;
 
 	/**
@@ -38,12 +40,14 @@
 	}
 
 	/**
-	 * Returns how the response marks the end of its body, as its head says it. A response
-	 * that never has a body counts as one with a length.
+	 * Returns how the response marks the end of its body, as its head says it. A status
+	 * that never has a body counts as a length; the method of the request is not known
+	 * here.
 	 * @return the framing, not null
 	 */
 	public BodyFraming framing() {
-		if (this.contentLength.isPresent() || this.status == NO_CONTENT || this.status == NOT_MODIFIED) {
+		boolean withoutBody = this.status == NO_CONTENT || this.status == RESET_CONTENT || this.status == NOT_MODIFIED;
+		if (this.contentLength.isPresent() || withoutBody) {
 			return BodyFraming.LENGTH;
 		}
 		return this.headers.firstValue("Transfer-Encoding").isPresent() ? BodyFraming.CHUNKED : BodyFraming.CLOSE;
