Rename the parts of the request framing after their jobs

RequestFraming is what a head says, as ResponseFraming on the other side; RequestScanner finds the ends of the requests on a connection. No behaviour changes.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RequestFraming.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RequestFraming.java
@@ -1,167 +1,98 @@
 package org.mulberrycross.http;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
-import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.http.HttpBrokenContentException;
+import org.glassfish.grizzly.http.Method;
 
 /**
- * Finds the ends of the requests on one connection and checks their framing. Not
- * thread-safe.
+ * How the head of a request says that its body is framed. Immutable and thread-safe.
+ *
+ * @param chunked whether the body is sent in chunks
+ * @param contentLength the length of the body if it is not sent in chunks, 0 if there is
+ * none
  */
-final class RequestFraming {
+record RequestFraming(boolean chunked, long contentLength) {
 
-	/** Maximum size of a head; below that of the codec, which would respond by itself. */
-	private static final int MAX_HEAD_BYTES = (64 << 10) - 1;
+	private static final Pattern REQUEST_LINE = Pattern
+		.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+) [^\\x00-\\x20\\x7f]+ HTTP/1\\.([01])");
 
-	/** Maximum size of all trailer fields. */
-	private static final int MAX_TRAILER_BYTES = 8 << 10;
+	private static final Pattern FIELD = Pattern
+		.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\\x00-\\x08\\x0a-\\x1f\\x7f]*)");
 
-	private final ByteArrayOutputStream head = new ByteArrayOutputStream();
-
-	private State state = State.HEAD;
-
-	/** Bytes in the current line of the head, without the line end. */
-	private int lineBytes;
-
-	/** Bytes left of a body with a length. */
-	private long remaining;
-
-	/** Whether the head of a request has been accepted. */
-	private boolean requestStarted;
-
-	private ChunkDecoder chunks = newChunkDecoder();
+	/** Up to 18 digits, which a long can hold. */
+	private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
 	/**
-	 * Reads bytes up to the end of a request, of the buffer or of the part that is sound.
-	 * @param buffer the bytes received, whose position does not change
-	 * @return the index after the last byte read
+	 * Parses a head strictly. A framing that two readers could understand differently is
+	 * refused, since what one of them takes for the body is a request to the other one.
+	 * @param text the head, including the blank line at its end, not null
+	 * @return the framing, or empty if the head is malformed
 	 */
-	int read(Buffer buffer) {
-		if (this.state == State.ENDED) {
-			this.head.reset();
-			this.state = State.HEAD;
+	static Optional<RequestFraming> parse(String text) {
+		String[] lines = text.split("\r?\n");
+		Matcher requestLine = REQUEST_LINE.matcher(lines[0]);
+		if (!requestLine.matches()) {
+			return Optional.empty();
 		}
-		int index = buffer.position();
-		while (index < buffer.limit() && this.state != State.ENDED && this.state != State.BROKEN) {
-			if (this.state == State.HEAD) {
-				this.state = readHead(buffer.get(index++));
+		int minorVersion = Integer.parseInt(requestLine.group(2));
+		List<String> hosts = new ArrayList<>();
+		List<String> lengths = new ArrayList<>();
+		List<String> transferEncodings = new ArrayList<>();
+		List<String> expectations = new ArrayList<>();
+		for (int i = 1; i < lines.length; i++) {
+			Matcher field = FIELD.matcher(lines[i]);
+			if (!field.matches()) {
+				return Optional.empty();
 			}
-			else if (this.state == State.BODY) {
-				long skipped = Math.min(this.remaining, buffer.limit() - index);
-				this.remaining -= skipped;
-				index += (int) skipped;
-				this.state = (this.remaining == 0) ? State.ENDED : State.BODY;
-			}
-			else {
-				index = readChunks(buffer, index);
+			String value = field.group(2).strip();
+			switch (field.group(1).toLowerCase(Locale.ROOT)) {
+				case "host" -> hosts.add(value);
+				case "content-length" -> lengths.add(value);
+				case "transfer-encoding" -> transferEncodings.add(value);
+				case "expect" -> expectations.add(value);
+				default -> {
+					// Does not concern the framing.
+				}
 			}
 		}
-		return index;
-	}
-
-	/**
-	 * Returns whether the head of the next request has not been received completely.
-	 * @return true if the end of the head, or all of it, is missing
-	 */
-	boolean isHeadIncomplete() {
-		return this.state == State.HEAD;
-	}
-
-	boolean isInBody() {
-		return this.state == State.BODY || this.state == State.CHUNKED;
-	}
-
-	boolean isBroken() {
-		return this.state == State.BROKEN;
-	}
-
-	/**
-	 * Returns whether a request has been passed on, to which a response may be under way.
-	 * @return true if a sound head has been received on this connection
-	 */
-	boolean hasRequestStarted() {
-		return this.requestStarted;
-	}
-
-	/**
-	 * Returns how much of an incomplete head has been received.
-	 * @return the number of bytes, without blank lines before the head
-	 */
-	int incompleteHeadBytes() {
-		return isHeadIncomplete() ? this.head.size() : 0;
-	}
-
-	/**
-	 * Returns the start of the current head.
-	 * @param length the number of bytes
-	 * @return a copy of the bytes
-	 */
-	byte[] headStart(int length) {
-		return Arrays.copyOf(this.head.toByteArray(), length);
-	}
-
-	private State readHead(byte value) {
-		boolean lineEnd = value == '\r' || value == '\n';
-		if (lineEnd && this.head.size() == 0) {
-			return State.HEAD;
-		}
-		this.head.write(value);
-		if (!lineEnd) {
-			this.lineBytes++;
-		}
-		if (this.head.size() > MAX_HEAD_BYTES) {
-			return State.BROKEN;
+		if (hosts.size() > 1 || hosts.size() < minorVersion
+				|| !expectations.stream().allMatch("100-continue"::equalsIgnoreCase)) {
+			return Optional.empty();
 		}
-		if (value != '\n') {
-			return State.HEAD;
-		}
-		boolean complete = this.lineBytes == 0;
-		this.lineBytes = 0;
-		return complete ? startBody() : State.HEAD;
+		return framing(minorVersion, lengths, transferEncodings)
+			.filter((head) -> !head.hasBody() || allowsBody(requestLine.group(1)));
 	}
 
-	private int readChunks(Buffer buffer, int start) {
-		Buffer input = buffer.duplicate();
-		input.position(start);
-		try {
-			while (input.hasRemaining() && !this.chunks.isComplete()) {
-				this.chunks.decode(input);
-			}
-			this.state = this.chunks.isComplete() ? State.ENDED : State.CHUNKED;
+	private static Optional<RequestFraming> framing(int minorVersion, List<String> lengths,
+			List<String> transferEncodings) {
+		if (!transferEncodings.isEmpty()) {
+			boolean sound = transferEncodings.size() == 1 && transferEncodings.get(0).equalsIgnoreCase("chunked")
+					&& lengths.isEmpty() && minorVersion == 1;
+			return sound ? Optional.of(new RequestFraming(true, 0)) : Optional.empty();
 		}
-		catch (HttpBrokenContentException ex) {
-			this.state = State.BROKEN;
+		if (lengths.isEmpty()) {
+			return Optional.of(new RequestFraming(false, 0));
 		}
-		return input.position();
-	}
-
-	// The codec that reads the request after this check refuses extensions.
-	private static ChunkDecoder newChunkDecoder() {
-		return new ChunkDecoder(MAX_TRAILER_BYTES, false);
-	}
-
-	private State startBody() {
-		Optional<RequestHead> parsed = RequestHead.parse(this.head.toString(StandardCharsets.ISO_8859_1));
-		if (parsed.isEmpty()) {
-			return State.BROKEN;
-		}
-		this.requestStarted = true;
-		this.remaining = parsed.get().contentLength();
-		this.chunks = newChunkDecoder();
-		if (parsed.get().chunked()) {
-			return State.CHUNKED;
+		String length = lengths.get(0);
+		if (!LENGTH.matcher(length).matches() || !lengths.stream().allMatch(length::equals)) {
+			return Optional.empty();
 		}
-		return (this.remaining > 0) ? State.BODY : State.ENDED;
+		return Optional.of(new RequestFraming(false, Long.parseLong(length)));
 	}
 
-	private enum State {
-
-		HEAD, BODY, CHUNKED, ENDED, BROKEN
+	// The codec of Grizzly refuses a body with these methods by an error response of its
+	// own, which it writes into a response under way.
+	private static boolean allowsBody(String method) {
+		return Method.valueOf(method).getPayloadExpectation() == Method.PayloadExpectation.ALLOWED;
+	}
 
+	private boolean hasBody() {
+		return this.chunked || this.contentLength > 0;
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RequestFramingFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RequestFramingFilter.java
@@ -25,7 +25,7 @@
 	private static final byte[] BAD_REQUEST = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 		.getBytes(StandardCharsets.US_ASCII);
 
-	private final Attribute<RequestFraming> framingAttribute = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
+	private final Attribute<RequestScanner> scannerAttribute = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
 		.createAttribute(RequestFramingFilter.class.getName() + System.identityHashCode(this));
 
 	private final BrokenRequestHandler brokenRequestHandler;
@@ -58,27 +58,27 @@
 
 	@Override
 	public NextAction handleRead(FilterChainContext context) throws IOException {
-		RequestFraming framing = findOrCreate(context);
+		RequestScanner scanner = findOrCreate(context);
 		Buffer buffer = context.getMessage();
-		if (framing.isBroken()) {
+		if (scanner.isBroken()) {
 			buffer.tryDispose();
 			return context.getStopAction();
 		}
-		boolean startsInBody = framing.isInBody();
-		int heldBytes = framing.incompleteHeadBytes();
-		int end = framing.read(buffer);
-		if (framing.isBroken()) {
+		boolean startsInBody = scanner.isInBody();
+		int heldBytes = scanner.incompleteHeadBytes();
+		int end = scanner.read(buffer);
+		if (scanner.isBroken()) {
 			buffer.tryDispose();
-			this.brokenRequestHandler.handle(context, framing.hasRequestStarted());
+			this.brokenRequestHandler.handle(context, scanner.hasRequestStarted());
 			return context.getStopAction();
 		}
-		if (framing.isHeadIncomplete()) {
+		if (scanner.isHeadIncomplete()) {
 			buffer.tryDispose();
 			return context.getStopAction();
 		}
 		Buffer remainder = (end < buffer.limit()) ? buffer.split(end) : null;
 		if (!startsInBody && (heldBytes > 0 || !buffer.hasArray())) {
-			context.setMessage(joinInOneArray(context.getMemoryManager(), framing.headStart(heldBytes), buffer));
+			context.setMessage(joinInOneArray(context.getMemoryManager(), scanner.headStart(heldBytes), buffer));
 		}
 		return (remainder != null) ? context.getInvokeAction(remainder) : context.getInvokeAction();
 	}
@@ -92,13 +92,13 @@
 		return Buffers.wrap(memoryManager, joined);
 	}
 
-	private RequestFraming findOrCreate(FilterChainContext context) {
-		RequestFraming framing = this.framingAttribute.get(context.getConnection());
-		if (framing == null) {
-			framing = new RequestFraming();
-			this.framingAttribute.set(context.getConnection(), framing);
+	private RequestScanner findOrCreate(FilterChainContext context) {
+		RequestScanner scanner = this.scannerAttribute.get(context.getConnection());
+		if (scanner == null) {
+			scanner = new RequestScanner();
+			this.scannerAttribute.set(context.getConnection(), scanner);
 		}
-		return framing;
+		return scanner;
 	}
 
 	/**
