Let the route choice ask for the work at an engine through an interface

UpstreamSelector multiplied the load of its own daemon by the number of daemons. It now gets an OutstandingWork, so that figures of the whole fleet can take the place of that estimate; RelayControl passes the estimate of before, and nothing changes for callers. UpstreamSelectorTest passes.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -106,6 +106,8 @@
 
 	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
 
+	private int daemonCount = DEFAULT_DAEMON_COUNT;
+
 	RelayControl(ControlThread controlThread, MonotonicClock clock, RandomGenerator random, RelaySettings settings,
 			MessageFormat messageFormat, RelayClient client, EngineProber engineProber, CrashEventPublisher publisher,
 			RelayMetrics metrics) {
@@ -117,7 +119,7 @@
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.admission = new RequestAdmission(settings, clock);
 		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
-				DEFAULT_DAEMON_COUNT);
+				(engineId, own, nowNanos) -> own.times(this.daemonCount));
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
@@ -178,7 +180,7 @@
 	// Updates the number of daemons, including this one.
 	void updateDaemonCount(int count) {
 		this.controlThread.assertOnControlThread();
-		this.selector.updateDaemonCount(Math.max(1, count));
+		this.daemonCount = Math.max(1, count);
 		this.retryBudgets.updateDaemonCount(Math.max(1, count));
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLoad.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLoad.java
@@ -4,65 +4,41 @@
 import java.util.List;
 import java.util.Map;
 
+import org.mulberrycross.engine.EngineWork;
 import org.mulberrycross.engine.RequestTokens;
 
 /**
- * Load that the requests of this daemon put on each upstream. Confined to the control
+ * Work that the requests of this daemon put on each upstream. Confined to the control
  * thread; not thread-safe.
  */
 final class UpstreamLoad {
 
-	private final Map<String, InstanceLoad> loads = new HashMap<>();
+	private final Map<String, EngineWork> workById = new HashMap<>();
 
 	void add(List<String> ids, RequestTokens tokens) {
 		ids.forEach(
-				(id) -> this.loads.merge(id, new InstanceLoad(1, tokens.total(), tokens.prompt()), InstanceLoad::plus));
+				(id) -> this.workById.merge(id, new EngineWork(1, tokens.total(), tokens.prompt()), EngineWork::plus));
 	}
 
 	// Subtracts the prompt tokens of a request from the pending prefill of its upstreams.
 	void completePrefill(List<String> ids, RequestTokens tokens) {
-		ids.forEach((id) -> this.loads.computeIfPresent(id,
-				(key, load) -> load.plus(new InstanceLoad(0, 0, -tokens.prompt()))));
+		ids.forEach((id) -> this.workById.computeIfPresent(id, (key, work) -> new EngineWork(work.requests(),
+				work.tokens(), work.pendingPromptTokens() - tokens.prompt())));
 	}
 
 	void remove(List<String> ids, RequestTokens tokens) {
-		ids.forEach((id) -> this.loads.computeIfPresent(id, (key, load) -> {
-			InstanceLoad reduced = load.plus(new InstanceLoad(-1, -tokens.total(), 0));
-			return (reduced.requests() > 0) ? reduced : null;
-		}));
+		ids.forEach((id) -> this.workById.computeIfPresent(id, (key, work) -> (work.requests() <= 1) ? null
+				: new EngineWork(work.requests() - 1, work.tokens() - tokens.total(), work.pendingPromptTokens())));
 	}
 
-	int requests(String id) {
-		return load(id).requests();
+	// Returns the work of this daemon's requests at an upstream.
+	EngineWork at(String id) {
+		return this.workById.getOrDefault(id, EngineWork.NONE);
 	}
 
-	// Returns the tokens that the requests at an upstream will hold when they complete.
-	double tokens(String id) {
-		return load(id).tokens();
-	}
-
-	// Returns the prompt tokens whose prefill is pending at an upstream.
-	double pendingPromptTokens(String id) {
-		return load(id).pendingPromptTokens();
-	}
-
-	private InstanceLoad load(String id) {
-		return this.loads.getOrDefault(id, InstanceLoad.NONE);
-	}
-
-	/**
-	 * The number of requests at one upstream, the tokens that they will hold when they
-	 * complete, and the prompt tokens whose prefill is pending.
-	 */
-	private record InstanceLoad(int requests, double tokens, double pendingPromptTokens) {
-
-		private static final InstanceLoad NONE = new InstanceLoad(0, 0, 0);
-
-		InstanceLoad plus(InstanceLoad other) {
-			return new InstanceLoad(this.requests + other.requests, this.tokens + other.tokens,
-					this.pendingPromptTokens + other.pendingPromptTokens);
-		}
-
+	// Returns the work at all upstreams that have any, by id.
+	Map<String, EngineWork> snapshot() {
+		return Map.copyOf(this.workById);
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -18,7 +18,9 @@
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.EngineProfile;
+import org.mulberrycross.engine.EngineWork;
 import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.OutstandingWork;
 import org.mulberrycross.engine.PathFinder;
 import org.mulberrycross.engine.RequestTokens;
 
@@ -29,8 +31,7 @@
 final class UpstreamSelector {
 
 	/**
-	 * Utilization of an engine at which others are preferred. Each daemon knows only its
-	 * own requests and assumes that every other daemon has as many.
+	 * Utilization of an engine at which others are preferred.
 	 */
 	private static final double SATURATION_THRESHOLD = 0.9;
 
@@ -56,20 +57,16 @@
 
 	private final RandomGenerator random;
 
-	private int daemonCount;
+	private final OutstandingWork outstandingWork;
 
 	UpstreamSelector(UpstreamDirectory directory, UpstreamHealth health, EngineSlowdowns slowdowns, String dataCentre,
-			RandomGenerator random, int daemonCount) {
+			RandomGenerator random, OutstandingWork outstandingWork) {
 		this.directory = directory;
 		this.health = health;
 		this.slowdowns = slowdowns;
 		this.dataCentre = dataCentre;
 		this.random = random;
-		this.daemonCount = daemonCount;
-	}
-
-	void updateDaemonCount(int count) {
-		this.daemonCount = count;
+		this.outstandingWork = outstandingWork;
 	}
 
 	void configure(ServingConfiguration configuration) {
@@ -136,7 +133,7 @@
 			.and((engine) -> !exchange.suspectedUpstreams().contains(engine.id()));
 		// From preferred engines to the last resort.
 		Stream<Predicate<EngineInstance>> tiers = Stream.of(
-				unsuspected.and((engine) -> isBelowSaturation(profile, engine)), unsuspected, notEjected,
+				unsuspected.and((engine) -> isBelowSaturation(profile, engine, nowNanos)), unsuspected, notEjected,
 				notFailed.and((engine) -> !this.health.isStalled(engine.id(), nowNanos)), notFailed);
 		return tiers
 			.map((eligible) -> findPath(exchange, service, engines.stream().filter(eligible).toList(), nowNanos))
@@ -150,29 +147,35 @@
 		return this.pathFinders.get(service)
 			.find(engines, requestTokens(exchange),
 					(engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
-							* (1 + utilization(profile, engine) * SLOWDOWN_AT_FULL_UTILIZATION),
+							* (1 + utilization(profile, engine, nowNanos) * SLOWDOWN_AT_FULL_UTILIZATION),
 					(engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
-							* this.load.pendingPromptTokens(engine.id()) * this.daemonCount,
+							* work(engine.id(), nowNanos).pendingPromptTokens(),
 					this.random);
 	}
 
-	private boolean isBelowSaturation(EngineProfile profile, EngineInstance engine) {
-		return utilization(profile, engine) < SATURATION_THRESHOLD;
+	private boolean isBelowSaturation(EngineProfile profile, EngineInstance engine, long nowNanos) {
+		return utilization(profile, engine, nowNanos) < SATURATION_THRESHOLD;
+	}
+
+	// Returns the work that all daemons are expected to have at an upstream.
+	private EngineWork work(String id, long nowNanos) {
+		return this.outstandingWork.at(id, this.load.at(id), nowNanos);
 	}
 
 	// Returns the used share of an engine: of its cache memory or, for an engine that can
 	// be the first of a path, of its request slots if that is more.
-	private double utilization(EngineProfile profile, EngineInstance engine) {
+	private double utilization(EngineProfile profile, EngineInstance engine, long nowNanos) {
 		int layerCount = engine.layers().map(LayerRange::size).orElse(0);
 		double freeMb = profile.kind(engine).map(AcceleratorKind::memoryMb).orElse(0.0)
 				- layerCount * profile.weightMbPerLayer();
 		double capacityTokens = freeMb / (profile.cacheMbPerTokenAndLayer() * Math.max(1, layerCount));
-		double memoryUse = this.load.tokens(engine.id()) * this.daemonCount / Math.max(1, capacityTokens);
+		EngineWork work = work(engine.id(), nowNanos);
+		double memoryUse = work.tokens() / Math.max(1, capacityTokens);
 		if (engine.layers().map((held) -> held.first() > 0).orElse(true)) {
 			return memoryUse;
 		}
 		double slots = Math.max(1, engine.upstream().slots());
-		return Math.max(memoryUse, this.load.requests(engine.id()) * this.daemonCount / slots);
+		return Math.max(memoryUse, work.requests() / slots);
 	}
 
 	// Selects the least loaded instance of a plain service, with preference for instances
@@ -180,7 +183,7 @@
 	private Optional<UpstreamInstance> selectInstance(RelayExchange exchange, String service, long nowNanos) {
 		Comparator<UpstreamInstance> leastLoaded = Comparator
 			.comparing((UpstreamInstance instance) -> this.health.isEjected(instance.id(), nowNanos))
-			.thenComparing((instance) -> this.load.requests(instance.id()))
+			.thenComparing((instance) -> this.load.at(instance.id()).requests())
 			.thenComparing((instance) -> !instance.dataCentre().equals(this.dataCentre));
 		return eligibleEntries(service, nowNanos).stream()
 			.map(DirectoryEntry::instance)
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -48,7 +48,7 @@
 	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
 
 	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, "dc",
-			new SplittableRandom(1), 1);
+			new SplittableRandom(1), (engineId, own, nowNanos) -> own);
 
 	private final RelayExchange exchange = exchange();
 
