Let daemons list each other and listen for messages of siblings

A daemon with the setting listen.siblings registers its address, data centre and start time under router/NAME and serves other daemons there. RelayServer can bound the size of a request body, so that a long message does not fill the memory. No messages are sent yet. Without the setting an entry is {} as before.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServer.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServer.java
@@ -44,8 +44,19 @@
 	 * @param handler handles the requests, not null
 	 */
 	public RelayServer(Address address, RelayHandler handler) {
+		this(address, handler, Integer.MAX_VALUE);
+	}
+
+	/**
+	 * Creates a server that does not listen until {@link #start()} is called.
+	 * @param address the address to listen on, not null
+	 * @param handler handles the requests, not null
+	 * @param maxBodyBytes the maximum size of a request body; the connection of a client
+	 * that sends a longer one is closed
+	 */
+	public RelayServer(Address address, RelayHandler handler, int maxBodyBytes) {
 		this.address = Objects.requireNonNull(address, "address");
-		this.filter = new RelayServerFilter(Objects.requireNonNull(handler, "handler"));
+		this.filter = new RelayServerFilter(Objects.requireNonNull(handler, "handler"), maxBodyBytes);
 		this.transport = TCPNIOTransportBuilder.newInstance()
 			.setIOStrategy(SameThreadIOStrategy.getInstance())
 			.setTcpNoDelay(true)
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -27,6 +27,9 @@
 
 	private final RelayHandler handler;
 
+	/** Size of a request body at which the connection is closed. */
+	private final int maxBodyBytes;
+
 	/** Whether connections are to be closed after their current response. */
 	private final BooleanSupplier draining;
 
@@ -56,9 +59,10 @@
 	/** The {@link System#nanoTime()} at which the request or idle timeout started. */
 	private long timeoutStartNanos = System.nanoTime();
 
-	RelayServerConnection(Connection<?> connection, RelayHandler handler, BooleanSupplier draining) {
+	RelayServerConnection(Connection<?> connection, RelayHandler handler, int maxBodyBytes, BooleanSupplier draining) {
 		this.connection = connection;
 		this.handler = handler;
+		this.maxBodyBytes = maxBodyBytes;
 		this.draining = draining;
 	}
 
@@ -80,6 +84,10 @@
 		Response response;
 		synchronized (this) {
 			if (content.getContent() != null && content.getContent().hasRemaining()) {
+				if (content.getContent().remaining() > this.maxBodyBytes - this.requestBody.size()) {
+					this.connection.closeSilently();
+					return;
+				}
 				byte[] data = new byte[content.getContent().remaining()];
 				content.getContent().get(data);
 				this.requestBody.writeBytes(data);
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerFilter.java
@@ -26,11 +26,14 @@
 
 	private final RelayHandler handler;
 
+	private final int maxBodyBytes;
+
 	/** Whether connections are to be closed after their current response. */
 	private volatile boolean draining;
 
-	RelayServerFilter(RelayHandler handler) {
+	RelayServerFilter(RelayHandler handler, int maxBodyBytes) {
 		this.handler = handler;
+		this.maxBodyBytes = maxBodyBytes;
 	}
 
 	RelayServerConnection findOrCreate(Connection<?> connection) {
@@ -38,7 +41,8 @@
 		if (existing != null) {
 			return existing;
 		}
-		RelayServerConnection created = new RelayServerConnection(connection, this.handler, () -> this.draining);
+		RelayServerConnection created = new RelayServerConnection(connection, this.handler, this.maxBodyBytes,
+				() -> this.draining);
 		this.connectionAttribute.set(connection, created);
 		this.openConnections.add(created);
 		return created;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/SettingsFile.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/SettingsFile.java
@@ -111,6 +111,16 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Reads an optional address.
+	 * @param key the dotted key
+	 * @return the address, or empty if the key is absent or its value is invalid
+	 */
+	public Optional<Address> optionalAddress(String key) {
+		JsonNode value = node(key);
+		return value.isMissingNode() ? Optional.empty() : requiredAddress(key, value);
+	}
+
 	/**
 	 * Reads an optional list of addresses.
 	 * @param key the dotted key
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -36,6 +36,7 @@
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.router.ObjectLeaseStore;
+import org.mulberrycross.sibling.Sibling;
 
 /**
  * A daemon that relays requests from clients to the upstreams of a platform. Thread-safe.
@@ -97,6 +98,9 @@
 
 	private final KindWatcher crashEventWatcher;
 
+	/** Empty if the settings contain no address for messages between daemons. */
+	private final Optional<SiblingNetwork> siblingNetwork;
+
 	private final RouterMembership routerMembership;
 
 	private final PlacementRunner placementRunner;
@@ -143,7 +147,9 @@
 		this.crashEventWatcher = new KindWatcher(adapter.store(), CrashEventSharing.KIND, this.crashEventSharing,
 				() -> WatchTiming.ofCrashEvents(this.propagationLimits), this.configurationWatcher::awaitStoreAvailable,
 				this.clock, new SplittableRandom(secureRandom.nextLong()));
-		this.routerMembership = new RouterMembership(adapter.store(), settings.name(), this::updateDaemonCount);
+		this.siblingNetwork = SiblingNetwork.create(settings, System.currentTimeMillis());
+		this.routerMembership = new RouterMembership(adapter.store(), settings.name(),
+				this.siblingNetwork.map(SiblingNetwork::self), this::updateDaemons);
 		this.placementRunner = new PlacementRunner(this.placementView::get,
 				new OrderLease(settings.name(), PlacementRunner.LEASE_DURATION),
 				new LeaseActionExecutor(new ObjectLeaseStore(adapter.store()), PlacementRunner.LEASE_NAME),
@@ -159,8 +165,9 @@
 		this.relayControl.applyCrashEvents(events);
 	}
 
-	private void updateDaemonCount(int count) {
+	private void updateDaemons(int count, List<Sibling> siblings) {
 		this.daemonCount = Math.max(1, count);
+		this.siblingNetwork.ifPresent((network) -> network.update(count, siblings));
 		this.controlThread.post(() -> this.relayControl.updateDaemonCount(count));
 	}
 
@@ -177,6 +184,9 @@
 	public void start() throws IOException {
 		this.readinessServer.start();
 		this.callerServer.start();
+		if (this.siblingNetwork.isPresent()) {
+			this.siblingNetwork.get().start();
+		}
 		this.settingsReloader.start();
 		this.configurationWatcher.start();
 		this.upstreamWatcher.start();
@@ -256,6 +266,7 @@
 		this.crashEventSharing.close();
 		this.routerMembership.close();
 		this.placementRunner.close();
+		this.siblingNetwork.ifPresent(SiblingNetwork::close);
 		this.callerServer.close();
 		this.readinessServer.close();
 		this.engineProber.close();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettings.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettings.java
@@ -19,10 +19,11 @@
  * @param retryRatio the permitted ratio of all daemons' retries to requests, per service
  * @param retryBurst the number of retries that all daemons may send beyond the ratio
  * @param retryWindow the sliding window for counting requests and retries, not null
+ * @param siblings the settings for messages between daemons, not null
  */
 public record RelaySettings(String name, String dataCentre, Address callerAddress, Address readinessAddress,
 		Address platformAddress, Duration revocationLimit, PropagationLimits propagationLimits, Duration shutdownGrace,
-		double retryRatio, double retryBurst, Duration retryWindow) {
+		double retryRatio, double retryBurst, Duration retryWindow, SiblingSettings siblings) {
 
 	/**
 	 * Creates settings.
@@ -37,6 +38,7 @@
 	 * @param retryRatio the permitted ratio of retries to requests
 	 * @param retryBurst the number of retries permitted beyond the ratio
 	 * @param retryWindow the sliding window for counting requests and retries, not null
+	 * @param siblings the settings for messages between daemons, not null
 	 */
 	public RelaySettings {
 		Objects.requireNonNull(name, "name");
@@ -48,6 +50,7 @@
 		Objects.requireNonNull(propagationLimits, "propagationLimits");
 		Objects.requireNonNull(shutdownGrace, "shutdownGrace");
 		Objects.requireNonNull(retryWindow, "retryWindow");
+		Objects.requireNonNull(siblings, "siblings");
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
@@ -2,22 +2,26 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntConsumer;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.PeerException;
 import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.StoredObject;
+import org.mulberrycross.sibling.Sibling;
+import org.mulberrycross.sibling.http.SiblingEntryCodec;
 
 /**
- * Traffic thread that registers this daemon in the store and counts the registered
- * daemons, so that each can compute its share of global limits. Entries of replaced
- * daemons remain, so the count may be too high, which makes each share smaller and
- * therefore safe. Thread-safe.
+ * Traffic thread that registers this daemon in the store and lists the registered
+ * daemons, so that each can compute its share of global limits and send messages to the
+ * others. Entries of replaced daemons remain, so the count may be too high, which makes
+ * each share smaller and therefore safe. Thread-safe.
  */
 final class RouterMembership implements AutoCloseable {
 
@@ -25,6 +29,8 @@
 
 	private static final String KIND = "router";
 
+	private static final byte[] EMPTY_ENTRY = "{}".getBytes(StandardCharsets.UTF_8);
+
 	/**
 	 * Period of counting after the start; daemons that start together have registered
 	 * within it.
@@ -38,16 +44,20 @@
 
 	private final String name;
 
-	private final IntConsumer countListener;
+	private final Optional<Sibling> self;
+
+	private final Listener listener;
 
 	private final CountDownLatch closed = new CountDownLatch(1);
 
 	private final Thread thread = new Thread(this::run, "router-census");
 
-	RouterMembership(ObjectStore store, String name, IntConsumer countListener) {
+	// A daemon without an address for messages registers its name only.
+	RouterMembership(ObjectStore store, String name, Optional<Sibling> self, Listener listener) {
 		this.store = Objects.requireNonNull(store, "store");
 		this.name = Objects.requireNonNull(name, "name");
-		this.countListener = Objects.requireNonNull(countListener, "countListener");
+		this.self = Objects.requireNonNull(self, "self");
+		this.listener = Objects.requireNonNull(listener, "listener");
 		this.thread.setDaemon(true);
 	}
 
@@ -61,8 +71,7 @@
 		Duration period = STARTUP_PERIOD;
 		try {
 			do {
-				countDaemons();
-				registered = registered || register();
+				registered = listAndRegister(registered);
 				if (this.closed.await(period.toMillis(), TimeUnit.MILLISECONDS)) {
 					return;
 				}
@@ -76,23 +85,42 @@
 		}
 	}
 
-	private boolean register() {
+	// Returns whether this daemon is registered.
+	boolean listAndRegister(boolean registered) {
+		Optional<StoredObject> ownEntry;
 		try {
-			this.store.create(KIND + "/" + this.name, "{}".getBytes(StandardCharsets.UTF_8));
-			return true;
+			List<StoredObject> entries = KindWatcher.listAll(this.store, KIND).objects();
+			this.listener.onListed(entries.size(),
+					entries.stream().flatMap((entry) -> decode(entry).stream()).toList());
+			ownEntry = entries.stream().filter((entry) -> entry.name().equals(this.name)).findAny();
 		}
 		catch (PeerException ex) {
-			logger.atInfo().addKeyValue("cause", ex.toString()).log("daemon registration failed and will be retried");
-			return false;
+			logger.atInfo().addKeyValue("cause", ex.toString()).log("daemons could not be listed");
+			return registered;
 		}
+		return registered || register(ownEntry);
 	}
 
-	private void countDaemons() {
+	private static Optional<Sibling> decode(StoredObject entry) {
+		return SiblingEntryCodec.decode(entry.name(), entry.value());
+	}
+
+	// Replaces the entry that a previous process of this daemon made, since its address
+	// and its start time may be others.
+	private boolean register(Optional<StoredObject> ownEntry) {
+		byte[] value = this.self.map(SiblingEntryCodec::encode).orElse(EMPTY_ENTRY);
 		try {
-			this.countListener.accept(KindWatcher.listAll(this.store, KIND).objects().size());
+			if (ownEntry.isEmpty()) {
+				return this.store.create(KIND + "/" + this.name, value).isPresent();
+			}
+			if (this.self.isEmpty() || decode(ownEntry.get()).equals(this.self)) {
+				return true;
+			}
+			return this.store.replace(ownEntry.get().key(), value, ownEntry.get().version()).isPresent();
 		}
 		catch (PeerException ex) {
-			logger.atInfo().addKeyValue("cause", ex.toString()).log("daemons could not be counted");
+			logger.atInfo().addKeyValue("cause", ex.toString()).log("daemon registration failed and will be retried");
+			return false;
 		}
 	}
 
@@ -101,4 +129,20 @@
 		this.closed.countDown();
 	}
 
+	/**
+	 * Receives the registered daemons. Called on the thread of the membership.
+	 */
+	@FunctionalInterface
+	interface Listener {
+
+		/**
+		 * Handles a new list.
+		 * @param daemonCount the number of all registered daemons
+		 * @param siblings those that are registered with an address for messages, which
+		 * may include this daemon, not null
+		 */
+		void onListed(int daemonCount, List<Sibling> siblings);
+
+	}
+
 }
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingSettings.java
@@ -0,0 +1,35 @@
+package org.mulberrycross.router.relay;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import org.mulberrycross.Address;
+
+/**
+ * Settings for messages between daemons. Immutable and thread-safe.
+ *
+ * @param address the address to serve other daemons on, or empty if this daemon neither
+ * sends nor receives such messages, not null
+ * @param minDaemons the number of daemons below which no messages are sent
+ */
+public record SiblingSettings(Optional<Address> address, int minDaemons) {
+
+	/**
+	 * Default of the minimum number of daemons. In smaller fleets the load of one daemon
+	 * is a usable sample of that of all.
+	 */
+	public static final int DEFAULT_MIN_DAEMONS = 8;
+
+	/** No messages between daemons. */
+	public static final SiblingSettings NONE = new SiblingSettings(Optional.empty(), DEFAULT_MIN_DAEMONS);
+
+	/**
+	 * Creates settings.
+	 * @param address the address to serve other daemons on, not null
+	 * @param minDaemons the number of daemons below which no messages are sent
+	 */
+	public SiblingSettings {
+		Objects.requireNonNull(address, "address");
+	}
+
+}
