Exchange the work at engines between daemons

Each daemon sends its own work to the hub of its data centre every 500 ms or more, and the reply holds the sums of all daemons. FleetLoad uses them in place of the own work times the number of daemons, which it goes back to when it hears nobody.

--- a/mulberrycross/src/main/java/org/mulberrycross/Step.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/Step.java
@@ -79,6 +79,9 @@
 	/** Exchanging gossip digests with a sibling daemon. */
 	GOSSIP,
 
+	/** Exchanging figures on work with a sibling daemon. */
+	EXCHANGE_LOAD,
+
 	/** Borrowing part of a team's limit from the daemon that owns it. */
 	BORROW_SHARE,
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -101,6 +101,8 @@
 	/** Empty if the settings contain no address for messages between daemons. */
 	private final Optional<SiblingNetwork> siblingNetwork;
 
+	private final Optional<LoadExchange> loadExchange;
+
 	private final RouterMembership routerMembership;
 
 	private final PlacementRunner placementRunner;
@@ -128,9 +130,10 @@
 		this.engineProber = new EngineProber(adapter.engineReporter());
 		this.crashEventSharing = new CrashEventSharing(adapter.store(), this.controlThread, this::applyCrashEvents,
 				new SplittableRandom(secureRandom.nextLong()));
+		RelayMetrics relayMetrics = new RelayMetrics(this.metrics);
 		this.relayControl = new RelayControl(this.controlThread, this.clock,
 				new SplittableRandom(secureRandom.nextLong()), settings, adapter.messageFormat(), this.client,
-				this.engineProber, this.crashEventSharing, new RelayMetrics(this.metrics));
+				this.engineProber, this.crashEventSharing, relayMetrics);
 		this.callerServer = new RelayServer(settings.callerAddress(), this.relayControl::acceptRequest);
 		this.readinessServer = new RelayServer(settings.readinessAddress(), this::handleProbe);
 		this.propagationLimits = settings.propagationLimits();
@@ -148,6 +151,8 @@
 				() -> WatchTiming.ofCrashEvents(this.propagationLimits), this.configurationWatcher::awaitStoreAvailable,
 				this.clock, new SplittableRandom(secureRandom.nextLong()));
 		this.siblingNetwork = SiblingNetwork.create(settings, System.currentTimeMillis());
+		this.loadExchange = this.siblingNetwork.map((network) -> network.createLoadExchange(this.controlThread,
+				this.relayControl, relayMetrics, this.clock));
 		this.routerMembership = new RouterMembership(adapter.store(), settings.name(),
 				this.siblingNetwork.map(SiblingNetwork::self), this::updateDaemons);
 		this.placementRunner = new PlacementRunner(this.placementView::get,
@@ -187,6 +192,7 @@
 		if (this.siblingNetwork.isPresent()) {
 			this.siblingNetwork.get().start();
 		}
+		this.loadExchange.ifPresent(LoadExchange::start);
 		this.settingsReloader.start();
 		this.configurationWatcher.start();
 		this.upstreamWatcher.start();
@@ -266,6 +272,7 @@
 		this.crashEventSharing.close();
 		this.routerMembership.close();
 		this.placementRunner.close();
+		this.loadExchange.ifPresent(LoadExchange::close);
 		this.siblingNetwork.ifPresent(SiblingNetwork::close);
 		this.callerServer.close();
 		this.readinessServer.close();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/MetricsText.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/MetricsText.java
@@ -16,6 +16,7 @@
 	static String format(MetricRegistry registry) {
 		StringBuilder text = new StringBuilder();
 		registry.getCounters().forEach((name, counter) -> appendLine(text, name, counter.getCount()));
+		registry.getGauges().forEach((name, gauge) -> appendLine(text, name, gauge.getValue()));
 		registry.getTimers().forEach((name, timer) -> {
 			Snapshot snapshot = timer.getSnapshot();
 			appendLine(text, name + ".count", timer.getCount());
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -22,10 +22,12 @@
 import org.mulberrycross.engine.CrashEvent;
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EngineProfile;
+import org.mulberrycross.engine.EngineWork;
 import org.mulberrycross.http.RelayClient;
 import org.mulberrycross.http.RelayRequest;
 import org.mulberrycross.http.ResponseHead;
 import org.mulberrycross.http.ResponseWriter;
+import org.mulberrycross.sibling.FleetLoad;
 
 /**
  * Handles each request from arrival to completion: matches its route and team, selects an
@@ -106,7 +108,7 @@
 
 	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
 
-	private int daemonCount = DEFAULT_DAEMON_COUNT;
+	private final FleetLoad fleetLoad = new FleetLoad(DEFAULT_DAEMON_COUNT);
 
 	RelayControl(ControlThread controlThread, MonotonicClock clock, RandomGenerator random, RelaySettings settings,
 			MessageFormat messageFormat, RelayClient client, EngineProber engineProber, CrashEventPublisher publisher,
@@ -119,7 +121,7 @@
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.admission = new RequestAdmission(settings, clock);
 		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
-				(engineId, own, nowNanos) -> own.times(this.daemonCount));
+				this.fleetLoad);
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
@@ -151,6 +153,17 @@
 		return this.admission.configuration();
 	}
 
+	// Returns the work of this daemon's requests by upstream id.
+	Map<String, EngineWork> ownWork() {
+		this.controlThread.assertOnControlThread();
+		return this.selector.ownWork();
+	}
+
+	FleetLoad fleetLoad() {
+		this.controlThread.assertOnControlThread();
+		return this.fleetLoad;
+	}
+
 	// Returns the profiles and the eligible engines by service, as input for placement.
 	PlacementView placementView() {
 		this.controlThread.assertOnControlThread();
@@ -180,7 +193,7 @@
 	// Updates the number of daemons, including this one.
 	void updateDaemonCount(int count) {
 		this.controlThread.assertOnControlThread();
-		this.daemonCount = Math.max(1, count);
+		this.fleetLoad.updateDaemonCount(Math.max(1, count));
 		this.retryBudgets.updateDaemonCount(Math.max(1, count));
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
@@ -3,17 +3,31 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.DefaultSettableGauge;
 import com.codahale.metrics.MetricRegistry;
 
 /**
- * Counters and latency histograms of a relaying daemon. Thread-safe.
+ * Counters, gauges and latency histograms of a relaying daemon. Thread-safe.
  */
 final class RelayMetrics {
 
 	private final MetricRegistry registry;
 
+	private final DefaultSettableGauge<Integer> daemonsCovered = new DefaultSettableGauge<>(1);
+
+	private final DefaultSettableGauge<Long> fleetLoadAgeMillis = new DefaultSettableGauge<>(0L);
+
 	RelayMetrics(MetricRegistry registry) {
 		this.registry = registry;
+		registry.register("fleet_load.daemons_covered", this.daemonsCovered);
+		registry.register("fleet_load.age_ms", this.fleetLoadAgeMillis);
+	}
+
+	// Records the number of daemons whose load is known, including this one, and the age
+	// of the oldest figure of another daemon.
+	void updateFleetLoad(int daemons, Duration age) {
+		this.daemonsCovered.setValue(daemons);
+		this.fleetLoadAgeMillis.setValue(age.toMillis());
 	}
 
 	// Counts a request that was refused because the queue of the control thread was full.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
@@ -6,10 +6,15 @@
 import java.util.Optional;
 
 import org.mulberrycross.Address;
+import org.mulberrycross.ControlThread;
+import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.sibling.Sibling;
 import org.mulberrycross.sibling.SiblingDirectory;
+import org.mulberrycross.sibling.WorkLedger;
+import org.mulberrycross.sibling.http.HttpWorkClient;
 import org.mulberrycross.sibling.http.SiblingServer;
+import org.mulberrycross.sibling.http.WorkHandler;
 
 /**
  * The connections of a daemon to the other daemons: the server for their messages, the
@@ -58,6 +63,15 @@
 		return this.directory.self();
 	}
 
+	// Creates the exchange of load, which answers other daemons once the server starts.
+	LoadExchange createLoadExchange(ControlThread controlThread, RelayControl relayControl, RelayMetrics metrics,
+			MonotonicClock clock) {
+		WorkLedger ledger = new WorkLedger();
+		new WorkHandler(this.directory, ledger, clock).register(this.server);
+		return new LoadExchange(this.directory, ledger, new HttpWorkClient(this.client, LoadExchange.TIMEOUT),
+				controlThread, relayControl, metrics, clock);
+	}
+
 	void update(int daemonCount, List<Sibling> siblings) {
 		this.directory.update(siblings, daemonCount);
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -157,6 +157,11 @@
 		return utilization(profile, engine, nowNanos) < SATURATION_THRESHOLD;
 	}
 
+	// Returns the work of this daemon's requests by upstream id.
+	Map<String, EngineWork> ownWork() {
+		return this.load.snapshot();
+	}
+
 	// Returns the work that all daemons are expected to have at an upstream.
 	private EngineWork work(String id, long nowNanos) {
 		return this.outstandingWork.at(id, this.load.at(id), nowNanos);
