Test the exchange of load and send totals without Content-Encoding

WorkHandlerTest showed that the HTTP client of Grizzly decodes a body with Content-Encoding: deflate by itself and fails, so that every report would have gone without a reply. The media type now names the compression.

WorkLedgerTest, FleetLoadTest, WorkHandlerTest (two servers on loopback), RouterMembershipTest and SiblingDirectoryTest pass.

--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/WorkHandler.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/WorkHandler.java
@@ -151,8 +151,9 @@
 	}
 
 	private static void respond(ResponseWriter response, Encoded reply, OptionalLong ownSequence) {
-		List<HeaderField> fields = new ArrayList<>(List.of(new HeaderField("Content-Type", "application/json"),
-				new HeaderField("Content-Encoding", "deflate")));
+		// Content-Encoding is not set, since the HTTP client would decode the body
+		// itself.
+		List<HeaderField> fields = new ArrayList<>(List.of(new HeaderField("Content-Type", "application/zlib")));
 		ownSequence.ifPresent((sequence) -> fields.add(new HeaderField(SEQUENCE_HEADER, Long.toString(sequence))));
 		response.setHead(new ResponseHead(STATUS_OK, Headers.of(fields), OptionalLong.of(reply.body().length)));
 		response.write(reply.body());
