Keep the load of the fleet when a new hub knows only a few daemons

After the loss of a hub its members choose the next one at different moments, so its first sums cover one or two daemons. They no longer replace fresh figures of more than twice as many. FleetLoadTest passes.

--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/FleetLoad.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/FleetLoad.java
@@ -14,6 +14,11 @@
  */
 public final class FleetLoad implements OutstandingWork {
 
+	/**
+	 * Figures replace those in use if they cover at least this fraction of their daemons.
+	 */
+	private static final int MIN_COVERAGE_DIVISOR = 2;
+
 	private int daemonCount;
 
 	private Optional<Others> others = Optional.empty();
@@ -35,13 +40,17 @@
 	}
 
 	/**
-	 * Updates the work of the other daemons. It is used until an update is overdue by as
-	 * much as a report may be.
+	 * Updates the work of the other daemons. It is used for as many periods as a report.
+	 * Figures that cover far fewer daemons than those in use, such as the first ones of a
+	 * new hub, do not replace them before.
 	 * @param total the work of the others, not null
 	 * @param nowNanos the time on the daemon's monotonic clock
 	 */
 	public void update(WorkTotal total, long nowNanos) {
-		this.others = Optional.of(new Others(total, nowNanos));
+		int known = coveredDaemons(nowNanos) - 1;
+		if (total.daemons() * MIN_COVERAGE_DIVISOR >= known) {
+			this.others = Optional.of(new Others(total, nowNanos));
+		}
 	}
 
 	/**
