Report work in whole numbers of its own type

ArchitectureTest failed: sibling must not depend on engine. Reports and totals now hold ReportedWork, whole numbers that add up and subtract exactly, and FleetLoad, which turns them into EngineWork, is in router.relay. ArchitectureTest, FleetLoadTest, WorkLedgerTest, WorkHandlerTest, RouterMembershipTest and SiblingDirectoryTest pass.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/LoadExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/LoadExchange.java
@@ -23,7 +23,6 @@
 import org.mulberrycross.PeerException;
 import org.mulberrycross.engine.EngineWork;
 import org.mulberrycross.sibling.ExchangeBudget;
-import org.mulberrycross.sibling.FleetLoad;
 import org.mulberrycross.sibling.OwnReports;
 import org.mulberrycross.sibling.SiblingDirectory;
 import org.mulberrycross.sibling.WorkClient;
@@ -110,7 +109,7 @@
 		if (work.isEmpty()) {
 			return ExchangeBudget.MIN_PERIOD;
 		}
-		WorkReport report = this.ownReports.next(work.get());
+		WorkReport report = this.ownReports.next(FleetLoad.toReport(work.get()));
 		long nowNanos = this.clock.nanos();
 		this.ledger.record(report, nowNanos);
 		Optional<Address> hub = this.directory.address(nowNanos);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -27,7 +27,6 @@
 import org.mulberrycross.http.RelayRequest;
 import org.mulberrycross.http.ResponseHead;
 import org.mulberrycross.http.ResponseWriter;
-import org.mulberrycross.sibling.FleetLoad;
 
 /**
  * Handles each request from arrival to completion: matches its route and team, selects an
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/OwnReports.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/OwnReports.java
@@ -5,8 +5,6 @@
 import java.util.Objects;
 import java.util.Optional;
 
-import org.mulberrycross.engine.EngineWork;
-
 /**
  * The last reports of this daemon, so that it can subtract from sums exactly the report
  * that they contain, also if replies to later ones were lost. Not thread-safe.
@@ -34,13 +32,13 @@
 
 	/**
 	 * Creates the next report.
-	 * @param work the current work of this daemon by engine id, not null
+	 * @param work the current work of this daemon by engine id, not null; at most
+	 * {@link WorkReport#MAX_ENGINES} engines
 	 * @return the report
 	 */
-	public WorkReport next(Map<String, EngineWork> work) {
+	public WorkReport next(Map<String, ReportedWork> work) {
 		this.sequence++;
-		WorkReport report = new WorkReport(this.self.name(), this.self.incarnation(), this.sequence,
-				WorkReport.round(work));
+		WorkReport report = new WorkReport(this.self.name(), this.self.incarnation(), this.sequence, work);
 		this.reports.put(this.sequence, report);
 		this.reports.remove(this.sequence - MAX_REMEMBERED);
 		return report;
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/WorkLedger.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/WorkLedger.java
@@ -5,8 +5,6 @@
 import java.util.Map;
 import java.util.OptionalLong;
 
-import org.mulberrycross.engine.EngineWork;
-
 /**
  * The reports that a daemon has received from the daemons of its data centre, its own
  * report, and the totals of other data centres. What is not renewed expires, so that the
@@ -17,7 +15,7 @@
 public final class WorkLedger {
 
 	/** Number of periods after which a report or a total that is not renewed expires. */
-	static final int EXPIRY_PERIODS = 3;
+	public static final int EXPIRY_PERIODS = 3;
 
 	private final Map<String, Received> reports = new HashMap<>();
 
@@ -81,12 +79,12 @@
 	 */
 	public synchronized Summed local(long nowNanos) {
 		removeExpired(nowNanos);
-		Map<String, EngineWork> sums = new HashMap<>();
+		Map<String, ReportedWork> sums = new HashMap<>();
 		Map<String, Included> included = new HashMap<>();
 		long oldestNanos = nowNanos;
 		for (Received received : this.reports.values()) {
 			WorkReport report = received.report();
-			report.work().forEach((id, work) -> sums.merge(id, work, EngineWork::plus));
+			report.work().forEach((id, work) -> sums.merge(id, work, ReportedWork::plus));
 			included.put(report.sender(), new Included(report.incarnation(), report.sequence()));
 			oldestNanos = Math.min(oldestNanos, received.nanos());
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/WorkTotal.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/WorkTotal.java
@@ -5,8 +5,6 @@
 import java.util.Map;
 import java.util.Objects;
 
-import org.mulberrycross.engine.EngineWork;
-
 /**
  * The work of several daemons together at each engine. Immutable and thread-safe.
  *
@@ -15,7 +13,7 @@
  * @param period the time after which the next report is due, not null
  * @param work the work by engine id, without engines that have none
  */
-public record WorkTotal(int daemons, Duration age, Duration period, Map<String, EngineWork> work) {
+public record WorkTotal(int daemons, Duration age, Duration period, Map<String, ReportedWork> work) {
 
 	/**
 	 * Creates a total.
@@ -36,8 +34,8 @@
 	 * @return the sums, with the larger age and the period of this total
 	 */
 	public WorkTotal plus(WorkTotal other) {
-		Map<String, EngineWork> sums = new HashMap<>(this.work);
-		other.work.forEach((id, added) -> sums.merge(id, added, EngineWork::plus));
+		Map<String, ReportedWork> sums = new HashMap<>(this.work);
+		other.work.forEach((id, added) -> sums.merge(id, added, ReportedWork::plus));
 		Duration oldest = (this.age.compareTo(other.age) > 0) ? this.age : other.age;
 		return new WorkTotal(this.daemons + other.daemons, oldest, this.period, sums);
 	}
@@ -47,16 +45,15 @@
 	 * @param share the work of the daemon as in the report that was added, not null
 	 * @return the work of the others
 	 */
-	public WorkTotal minus(Map<String, EngineWork> share) {
-		Map<String, EngineWork> rest = new HashMap<>(this.work);
+	public WorkTotal minus(Map<String, ReportedWork> share) {
+		Map<String, ReportedWork> rest = new HashMap<>(this.work);
 		share.forEach((id, own) -> rest.computeIfPresent(id, (key, sum) -> subtract(sum, own)));
 		return new WorkTotal(this.daemons - 1, this.age, this.period, rest);
 	}
 
-	private static EngineWork subtract(EngineWork sum, EngineWork own) {
-		EngineWork rest = new EngineWork(sum.requests() - own.requests(), sum.tokens() - own.tokens(),
-				sum.pendingPromptTokens() - own.pendingPromptTokens());
-		return rest.equals(EngineWork.NONE) ? null : rest;
+	private static ReportedWork subtract(ReportedWork sum, ReportedWork own) {
+		ReportedWork rest = sum.minus(own);
+		return rest.equals(ReportedWork.NONE) ? null : rest;
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/WorkCodec.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/WorkCodec.java
@@ -14,14 +14,14 @@
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
-import org.mulberrycross.engine.EngineWork;
 import org.mulberrycross.http.Json;
+import org.mulberrycross.sibling.ReportedWork;
 import org.mulberrycross.sibling.WorkReport;
 import org.mulberrycross.sibling.WorkTotal;
 
 /**
  * Encodes figures on work as JSON and decodes them. The work at an engine is an array of
- * three whole numbers: requests, and units of {@link WorkReport#TOKENS_PER_UNIT} tokens
+ * three whole numbers: requests, and units of {@link ReportedWork#TOKENS_PER_UNIT} tokens
  * held and unread. The text is compressed, since engine ids are alike. Thread-safe.
  */
 public final class WorkCodec {
@@ -69,7 +69,7 @@
 	 */
 	public static byte[] encode(WorkTotal total) {
 		return compress(Json.encode(new Total(total.daemons(), total.age().toMillis(), total.period().toMillis(),
-				encodeWork(WorkReport.round(total.work())))));
+				encodeWork(total.work()))));
 	}
 
 	static byte[] compress(byte[] json) {
@@ -115,29 +115,24 @@
 	}
 
 	// Sorted by engine id, which makes the text compress better.
-	private static Map<String, long[]> encodeWork(Map<String, EngineWork> work) {
+	private static Map<String, long[]> encodeWork(Map<String, ReportedWork> work) {
 		Map<String, long[]> figures = new TreeMap<>();
-		work.forEach((id, at) -> figures.put(id,
-				new long[] { Math.round(at.requests()), units(at.tokens()), units(at.pendingPromptTokens()) }));
+		work.forEach((id, at) -> figures.put(id, new long[] { at.requests(), at.tokenUnits(), at.pendingUnits() }));
 		return figures;
 	}
 
-	private static long units(double tokens) {
-		return Math.round(tokens / WorkReport.TOKENS_PER_UNIT);
-	}
-
-	private static Map<String, EngineWork> decodeWork(Map<String, long[]> figures, Peer peer) throws PeerException {
+	private static Map<String, ReportedWork> decodeWork(Map<String, long[]> figures, Peer peer) throws PeerException {
 		if (figures == null || figures.size() > WorkReport.MAX_ENGINES) {
 			throw new PeerException(Step.CODEC, peer, "message has no work or too many engines");
 		}
-		Map<String, EngineWork> work = new HashMap<>();
+		Map<String, ReportedWork> work = new HashMap<>();
 		for (Map.Entry<String, long[]> entry : figures.entrySet()) {
 			work.put(entry.getKey(), decodeFigures(entry.getValue(), peer));
 		}
 		return work;
 	}
 
-	private static EngineWork decodeFigures(long[] figures, Peer peer) throws PeerException {
+	private static ReportedWork decodeFigures(long[] figures, Peer peer) throws PeerException {
 		if (figures == null || figures.length < FIGURES) {
 			throw new PeerException(Step.CODEC, peer, "work of an engine does not have " + FIGURES + " figures");
 		}
@@ -146,8 +141,7 @@
 				throw new PeerException(Step.CODEC, peer, "work of an engine has a figure out of range");
 			}
 		}
-		return new EngineWork(figures[0], (double) WorkReport.TOKENS_PER_UNIT * figures[1],
-				(double) WorkReport.TOKENS_PER_UNIT * figures[2]);
+		return new ReportedWork(figures[0], figures[1], figures[2]);
 	}
 
 	/** JSON form of a report. */
--- a/mulberrycross/src/test/java/org/mulberrycross/sibling/FleetLoadTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/FleetLoadTest.java
@@ -1,4 +1,4 @@
-package org.mulberrycross.sibling;
+package org.mulberrycross.router.relay;
 
 import java.time.Duration;
 import java.util.Map;
@@ -6,6 +6,10 @@
 import org.junit.jupiter.api.Test;
 
 import org.mulberrycross.engine.EngineWork;
+import org.mulberrycross.sibling.ExchangeBudget;
+import org.mulberrycross.sibling.ReportedWork;
+import org.mulberrycross.sibling.WorkLedger;
+import org.mulberrycross.sibling.WorkTotal;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -22,7 +26,7 @@
 
 	private static WorkTotal total(int daemons) {
 		return new WorkTotal(daemons, Duration.ofMillis(300), ExchangeBudget.MIN_PERIOD,
-				Map.of("engine", new EngineWork(30, 1000, 0)));
+				Map.of("engine", new ReportedWork(30, 20, 0)));
 	}
 
 	@Test
--- a/mulberrycross/src/test/java/org/mulberrycross/sibling/WorkLedgerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/WorkLedgerTest.java
@@ -7,7 +7,6 @@
 import org.junit.jupiter.api.Test;
 
 import org.mulberrycross.Address;
-import org.mulberrycross.engine.EngineWork;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -23,11 +22,11 @@
 	private final WorkLedger ledger = new WorkLedger();
 
 	private static WorkReport report(String sender, long incarnation, long sequence, int requests) {
-		return new WorkReport(sender, incarnation, sequence, Map.of("engine", new EngineWork(requests, 50, 0)));
+		return new WorkReport(sender, incarnation, sequence, Map.of("engine", new ReportedWork(requests, 50, 0)));
 	}
 
 	private static double requests(WorkLedger.Summed summed) {
-		return summed.total().work().getOrDefault("engine", EngineWork.NONE).requests();
+		return summed.total().work().getOrDefault("engine", ReportedWork.NONE).requests();
 	}
 
 	@Test
@@ -68,7 +67,7 @@
 	void totalForOtherDataCentresContainsOnlyOwnMembers() {
 		this.ledger.record(report("a", 1, 1, 2), 0);
 		this.ledger.recordTotal("other", new WorkTotal(4, Duration.ofMillis(100), ExchangeBudget.MIN_PERIOD,
-				Map.of("engine", new EngineWork(7, 50, 0))), 0);
+				Map.of("engine", new ReportedWork(7, 50, 0))), 0);
 		assertThat(requests(this.ledger.local(0))).isEqualTo(2);
 		WorkTotal fleet = this.ledger.fleet(PERIOD).total();
 		assertThat(fleet.work().get("engine").requests()).isEqualTo(9);
@@ -90,14 +89,14 @@
 	@Test
 	void ownShareIsSubtractedAsReportedAfterLostReply() {
 		OwnReports own = new OwnReports(new Sibling("a", new Address("10.0.0.1", 1), "dc", 1));
-		WorkReport first = own.next(Map.of("engine", new EngineWork(2, 1234, 40)));
-		own.next(Map.of("engine", new EngineWork(8, 9000, 0)));
+		WorkReport first = own.next(Map.of("engine", new ReportedWork(2, 24, 1)));
+		own.next(Map.of("engine", new ReportedWork(8, 180, 0)));
 		this.ledger.record(first, 0);
 		this.ledger.record(report("b", 1, 1, 3), 0);
 		WorkLedger.Summed summed = this.ledger.fleet(0);
 		WorkClient.Reply reply = new WorkClient.Reply(summed.total(), summed.sequence("a", 1));
 		WorkTotal others = own.others(reply).orElseThrow();
-		assertThat(others.work()).containsExactly("engine", new EngineWork(3, 50, 0));
+		assertThat(others.work()).containsExactly("engine", new ReportedWork(3, 50, 0));
 		assertThat(others.daemons()).isEqualTo(1);
 		for (int i = 0; i < OwnReports.MAX_REMEMBERED; i++) {
 			own.next(Map.of());
--- a/mulberrycross/src/test/java/org/mulberrycross/sibling/http/WorkHandlerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/http/WorkHandlerTest.java
@@ -18,10 +18,10 @@
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
-import org.mulberrycross.engine.EngineWork;
 import org.mulberrycross.http.HttpCall;
 import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.sibling.OwnReports;
+import org.mulberrycross.sibling.ReportedWork;
 import org.mulberrycross.sibling.Sibling;
 import org.mulberrycross.sibling.SiblingDirectory;
 import org.mulberrycross.sibling.WorkClient;
@@ -91,16 +91,16 @@
 
 	@Test
 	void memberGetsTheWorkOfBothDataCentresWithoutItsOwn() throws PeerException {
-		this.farLedger.record(new OwnReports(this.far).next(Map.of("engine", new EngineWork(4, 400, 150))),
+		this.farLedger.record(new OwnReports(this.far).next(Map.of("engine", new ReportedWork(4, 400, 150))),
 				System.nanoTime());
 		WorkTotal farTotal = this.client.total(this.far.address(), "near").orElseThrow();
 		this.ledger.recordTotal("dc-2", farTotal, System.nanoTime());
 		OwnReports own = new OwnReports(this.member);
 		WorkClient.Reply reply = this.client
-			.report(this.near.address(), own.next(Map.of("engine", new EngineWork(1, 120, 0))))
+			.report(this.near.address(), own.next(Map.of("engine", new ReportedWork(1, 120, 0))))
 			.orElseThrow();
 		assertThat(reply.total().daemons()).isEqualTo(2);
-		assertThat(own.others(reply).orElseThrow().work()).containsExactly("engine", new EngineWork(4, 400, 150));
+		assertThat(own.others(reply).orElseThrow().work()).containsExactly("engine", new ReportedWork(4, 400, 150));
 	}
 
 	@Test
