--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -36,6 +36,7 @@
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.router.ObjectLeaseStore;
+import org.mulberrycross.sibling.Sibling;
 
 /**
  * A daemon that relays requests from clients to the upstreams of a platform. Thread-safe.
@@ -97,6 +98,11 @@
 
 	private final KindWatcher crashEventWatcher;
 
+	/** Empty if the settings contain no address for messages between daemons. */
+	private final Optional<SiblingNetwork> siblingNetwork;
+
+	private final Optional<LoadExchange> loadExchange;
+
 	private final RouterMembership routerMembership;
 
 	private final PlacementRunner placementRunner;
@@ -124,9 +130,10 @@
 		this.engineProber = new EngineProber(adapter.engineReporter());
 		this.crashEventSharing = new CrashEventSharing(adapter.store(), this.controlThread, this::applyCrashEvents,
 				new SplittableRandom(secureRandom.nextLong()));
+		RelayMetrics relayMetrics = new RelayMetrics(this.metrics);
 		this.relayControl = new RelayControl(this.controlThread, this.clock,
 				new SplittableRandom(secureRandom.nextLong()), settings, adapter.messageFormat(), this.client,
-				this.engineProber, this.crashEventSharing, new RelayMetrics(this.metrics));
+				this.engineProber, this.crashEventSharing, relayMetrics);
 		this.callerServer = new RelayServer(settings.callerAddress(), this.relayControl::acceptRequest);
 		this.readinessServer = new RelayServer(settings.readinessAddress(), this::handleProbe);
 		this.propagationLimits = settings.propagationLimits();
@@ -143,7 +150,11 @@
 		this.crashEventWatcher = new KindWatcher(adapter.store(), CrashEventSharing.KIND, this.crashEventSharing,
 				() -> WatchTiming.ofCrashEvents(this.propagationLimits), this.configurationWatcher::awaitStoreAvailable,
 				this.clock, new SplittableRandom(secureRandom.nextLong()));
-		this.routerMembership = new RouterMembership(adapter.store(), settings.name(), this::updateDaemonCount);
+		this.siblingNetwork = SiblingNetwork.create(settings, System.currentTimeMillis());
+		this.loadExchange = this.siblingNetwork.map((network) -> network.createLoadExchange(this.controlThread,
+				this.relayControl, relayMetrics, this.clock));
+		this.routerMembership = new RouterMembership(adapter.store(), settings.name(),
+				this.siblingNetwork.map(SiblingNetwork::self), this::updateDaemons);
 		this.placementRunner = new PlacementRunner(this.placementView::get,
 				new OrderLease(settings.name(), PlacementRunner.LEASE_DURATION),
 				new LeaseActionExecutor(new ObjectLeaseStore(adapter.store()), PlacementRunner.LEASE_NAME),
@@ -159,8 +170,9 @@
 		this.relayControl.applyCrashEvents(events);
 	}
 
-	private void updateDaemonCount(int count) {
+	private void updateDaemons(int count, List<Sibling> siblings) {
 		this.daemonCount = Math.max(1, count);
+		this.siblingNetwork.ifPresent((network) -> network.update(count, siblings));
 		this.controlThread.post(() -> this.relayControl.updateDaemonCount(count));
 	}
 
@@ -177,6 +189,10 @@
 	public void start() throws IOException {
 		this.readinessServer.start();
 		this.callerServer.start();
+		if (this.siblingNetwork.isPresent()) {
+			this.siblingNetwork.get().start();
+		}
+		this.loadExchange.ifPresent(LoadExchange::start);
 		this.settingsReloader.start();
 		this.configurationWatcher.start();
 		this.upstreamWatcher.start();
@@ -256,6 +272,8 @@
 		this.crashEventSharing.close();
 		this.routerMembership.close();
 		this.placementRunner.close();
+		this.loadExchange.ifPresent(LoadExchange::close);
+		this.siblingNetwork.ifPresent(SiblingNetwork::close);
 		this.callerServer.close();
 		this.readinessServer.close();
 		this.engineProber.close();
