Weigh the load of the fleet by its age, and leave it off by default

Using the sums of other daemons alone made all daemons send to the engines that were free a second before. Figures of others now lose weight with their age, against the estimate of before.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/FleetLoad.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/FleetLoad.java
@@ -13,10 +13,11 @@
 import org.mulberrycross.sibling.WorkTotal;
 
 /**
- * Work of all daemons at an engine: the current work of this daemon and the last known
- * work of the others. What daemons that are not heard of have running is taken for like
- * that of those that are; a daemon that hears nobody multiplies its own work by the
- * number of daemons. Confined to the control thread; not thread-safe.
+ * Work of all daemons at an engine. Combines the last known work of the others and the
+ * estimate from the own work, that is, its multiple by the number of daemons. The older
+ * the figures of others are, the more the estimate counts; a daemon that hears nobody
+ * uses it alone. What daemons that are not heard of have running is taken for like that
+ * of those that are. Confined to the control thread; not thread-safe.
  */
 final class FleetLoad implements OutstandingWork {
 
@@ -25,6 +26,13 @@
 	 */
 	private static final int MIN_COVERAGE_DIVISOR = 2;
 
+	/**
+	 * Time after which the weight of figures of others has fallen to 1/e, since other
+	 * work has taken the place of most that they count. All daemons see the same figures,
+	 * and would send to the same engines by old ones.
+	 */
+	static final Duration WORK_LIFETIME = Duration.ofSeconds(1);
+
 	private int daemonCount;
 
 	private Optional<Others> others = Optional.empty();
@@ -56,7 +64,7 @@
 
 	// Returns the age of the figures of others that are used.
 	Optional<Duration> age(long nowNanos) {
-		return current(nowNanos).map((known) -> known.total().age().plusNanos(nowNanos - known.receivedNanos()));
+		return current(nowNanos).map((known) -> known.age(nowNanos));
 	}
 
 	private Optional<Others> current(long nowNanos) {
@@ -66,11 +74,16 @@
 
 	@Override
 	public EngineWork at(String engineId, EngineWork own, long nowNanos) {
-		EngineWork known = current(nowNanos).map((used) -> used.total().work().get(engineId))
-			.map((work) -> own.plus(toEngineWork(work)))
-			.orElse(own);
-		double covered = coveredDaemons(nowNanos);
-		return (this.daemonCount > covered) ? known.times(this.daemonCount / covered) : known;
+		EngineWork estimate = own.times(this.daemonCount);
+		return current(nowNanos).map((used) -> combine(engineId, own, estimate, used, nowNanos)).orElse(estimate);
+	}
+
+	private EngineWork combine(String engineId, EngineWork own, EngineWork estimate, Others used, long nowNanos) {
+		EngineWork heard = own.plus(toEngineWork(used.total().work().getOrDefault(engineId, ReportedWork.NONE)));
+		double scale = Math.max(1, (double) this.daemonCount / (1 + used.total().daemons()));
+		double ageNanos = used.age(nowNanos).toNanos();
+		double weight = Math.exp(-ageNanos / WORK_LIFETIME.toNanos());
+		return heard.times(scale * weight).plus(estimate.times(1 - weight));
 	}
 
 	// Returns the work of this daemon as it is reported, for at most as many engines as a
@@ -99,6 +112,10 @@
 	/** Work of other daemons, and when it was received. */
 	private record Others(WorkTotal total, long receivedNanos) {
 
+		private Duration age(long nowNanos) {
+			return this.total.age().plusNanos(nowNanos - this.receivedNanos);
+		}
+
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -101,6 +101,7 @@
 	/** Empty if the settings contain no address for messages between daemons. */
 	private final Optional<SiblingNetwork> siblingNetwork;
 
+	/** Empty if the daemons do not tell each other what they have running. */
 	private final Optional<LoadExchange> loadExchange;
 
 	private final RouterMembership routerMembership;
@@ -151,8 +152,9 @@
 				() -> WatchTiming.ofCrashEvents(this.propagationLimits), this.configurationWatcher::awaitStoreAvailable,
 				this.clock, new SplittableRandom(secureRandom.nextLong()));
 		this.siblingNetwork = SiblingNetwork.create(settings, System.currentTimeMillis());
-		this.loadExchange = this.siblingNetwork.map((network) -> network.createLoadExchange(this.controlThread,
-				this.relayControl, relayMetrics, this.clock));
+		this.loadExchange = this.siblingNetwork.filter((network) -> settings.siblings().shareLoad())
+			.map((network) -> network.createLoadExchange(this.controlThread, this.relayControl, relayMetrics,
+					this.clock));
 		this.routerMembership = new RouterMembership(adapter.store(), settings.name(),
 				this.siblingNetwork.map(SiblingNetwork::self), this::updateDaemons);
 		this.placementRunner = new PlacementRunner(this.placementView::get,
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingSettings.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingSettings.java
@@ -11,8 +11,9 @@
  * @param address the address to serve other daemons on, or empty if this daemon neither
  * sends nor receives such messages, not null
  * @param minDaemons the number of daemons below which no messages are sent
+ * @param shareLoad whether daemons tell each other what they have running
  */
-public record SiblingSettings(Optional<Address> address, int minDaemons) {
+public record SiblingSettings(Optional<Address> address, int minDaemons, boolean shareLoad) {
 
 	/**
 	 * Default of the minimum number of daemons. In smaller fleets the load of one daemon
@@ -21,12 +22,13 @@
 	public static final int DEFAULT_MIN_DAEMONS = 8;
 
 	/** No messages between daemons. */
-	public static final SiblingSettings NONE = new SiblingSettings(Optional.empty(), DEFAULT_MIN_DAEMONS);
+	public static final SiblingSettings NONE = new SiblingSettings(Optional.empty(), DEFAULT_MIN_DAEMONS, false);
 
 	/**
 	 * Creates settings.
 	 * @param address the address to serve other daemons on, not null
 	 * @param minDaemons the number of daemons below which no messages are sent
+	 * @param shareLoad whether daemons tell each other what they have running
 	 */
 	public SiblingSettings {
 		Objects.requireNonNull(address, "address");
