Keep the thread of the load exchange after an unexpected error

A RuntimeException, such as one of a connection pool, would have ended the thread, and the daemon would have estimated by itself until its restart. Found by reading.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/LoadExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/LoadExchange.java
@@ -68,6 +68,9 @@
 
 	private final Thread thread = new Thread(this::run, "load-exchange");
 
+	/** Whether an unexpected error was logged. Confined to the thread of the exchange. */
+	private boolean failed;
+
 	/** Whether figures of others are in use. Confined to the control thread. */
 	private boolean covered;
 
@@ -93,7 +96,7 @@
 			Duration pause = ExchangeBudget.MIN_PERIOD;
 			while (!this.closed.await(pause.toNanos(), TimeUnit.NANOSECONDS)) {
 				long startNanos = this.clock.nanos();
-				Duration period = this.directory.isEnabled() ? exchange() : ExchangeBudget.MIN_PERIOD;
+				Duration period = this.directory.isEnabled() ? tryExchange() : ExchangeBudget.MIN_PERIOD;
 				long restNanos = period.toNanos() - (this.clock.nanos() - startNanos);
 				pause = Duration.ofNanos(Math.max(MIN_PAUSE.toNanos(), restNanos));
 			}
@@ -103,6 +106,20 @@
 		}
 	}
 
+	// The thread must outlive an unexpected error. An error while closing is none.
+	private Duration tryExchange() throws InterruptedException {
+		try {
+			return exchange();
+		}
+		catch (RuntimeException ex) {
+			if (this.closed.getCount() > 0 && !this.failed) {
+				this.failed = true;
+				logger.error("load exchange failed, further errors of this kind are not logged", ex);
+			}
+			return ExchangeBudget.MAX_PERIOD;
+		}
+	}
+
 	// Returns the time after which the next exchange is due.
 	private Duration exchange() throws InterruptedException {
 		Optional<Map<String, EngineWork>> work = ownWork();
