Answer 503 to reports while no siblings are known

A daemon that restarts while the store fails knows no siblings. It answered 403, which its members took for a sound hub, so that they chose no other. Found by reading; WorkHandlerTest guards it, and now has a clock that stands still, so that no report expires on a slow machine.

--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/WorkHandler.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/WorkHandler.java
@@ -57,6 +57,8 @@
 
 	private static final int STATUS_FORBIDDEN = 403;
 
+	private static final int STATUS_UNAVAILABLE = 503;
+
 	private final SiblingDirectory directory;
 
 	private final WorkLedger ledger;
@@ -100,6 +102,10 @@
 			SiblingServer.refuse(response, STATUS_BAD_REQUEST, "report is not valid");
 			return;
 		}
+		if (!this.directory.isEnabled()) {
+			SiblingServer.refuse(response, STATUS_UNAVAILABLE, "no siblings are known yet");
+			return;
+		}
 		if (!isKnown(report.sender(), true)) {
 			logDropped("sender is not listed in this data centre", report.sender());
 			SiblingServer.refuse(response, STATUS_FORBIDDEN, "sender is not known");
@@ -113,6 +119,10 @@
 
 	private void handleTotal(RelayRequest request, ResponseWriter response) {
 		String sender = request.target().substring(Math.min(request.target().length(), TOTAL_PATH.length() + 1));
+		if (!this.directory.isEnabled()) {
+			SiblingServer.refuse(response, STATUS_UNAVAILABLE, "no siblings are known yet");
+			return;
+		}
 		if (!isKnown(sender, false)) {
 			logDropped("sender is not listed", sender);
 			SiblingServer.refuse(response, STATUS_FORBIDDEN, "sender is not known");
--- a/mulberrycross/src/test/java/org/mulberrycross/sibling/http/WorkHandlerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/http/WorkHandlerTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.mulberrycross.Address;
-import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.NotRunException;
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
@@ -37,6 +37,9 @@
  */
 class WorkHandlerTest {
 
+	/** The clock stands still, so that nothing expires on a slow machine. */
+	private static final long NOW_NANOS = 1;
+
 	private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
 	private final Sibling near = sibling("near", "dc-1");
@@ -70,7 +73,7 @@
 		SiblingDirectory directory = new SiblingDirectory(self, 2);
 		directory.update(List.of(this.near, this.far, this.member), 3);
 		SiblingServer server = new SiblingServer(self.address());
-		new WorkHandler(directory, received, MonotonicClock.system()).register(server);
+		new WorkHandler(directory, received, () -> NOW_NANOS).register(server);
 		return server;
 	}
 
@@ -92,9 +95,9 @@
 	@Test
 	void memberGetsTheWorkOfBothDataCentresWithoutItsOwn() throws PeerException {
 		this.farLedger.record(new OwnReports(this.far).next(Map.of("engine", new ReportedWork(4, 400, 150))),
-				System.nanoTime());
+				NOW_NANOS);
 		WorkTotal farTotal = this.client.total(this.far.address(), "near").orElseThrow();
-		this.ledger.recordTotal("dc-2", farTotal, System.nanoTime());
+		this.ledger.recordTotal("dc-2", farTotal, NOW_NANOS);
 		OwnReports own = new OwnReports(this.member);
 		WorkClient.Reply reply = this.client
 			.report(this.near.address(), own.next(Map.of("engine", new ReportedWork(1, 120, 0))))
@@ -110,7 +113,7 @@
 		assertThat(this.client.report(this.near.address(), new OwnReports(this.far).next(Map.of())))
 			.isEqualTo(Optional.empty());
 		assertThat(this.client.total(this.near.address(), "other")).isEqualTo(Optional.empty());
-		assertThat(this.ledger.reportCount(System.nanoTime())).isEqualTo(0);
+		assertThat(this.ledger.reportCount(NOW_NANOS)).isEqualTo(0);
 	}
 
 	@Test
@@ -124,7 +127,19 @@
 		assertThat(post(new byte[] { 1, 2, 3 })).isEqualTo(400);
 		assertThat(post(WorkCodec.compress(new byte[SiblingServer.MAX_BODY_BYTES + 1]))).isEqualTo(400);
 		assertThrows(PeerException.class, () -> post(new byte[SiblingServer.MAX_BODY_BYTES + 1]));
-		assertThat(this.ledger.reportCount(System.nanoTime())).isEqualTo(0);
+		assertThat(this.ledger.reportCount(NOW_NANOS)).isEqualTo(0);
+	}
+
+	@Test
+	void hubWithoutListOfSiblingsIsNotUsed() throws IOException {
+		Sibling fresh = sibling("fresh", "dc-1");
+		try (SiblingServer server = new SiblingServer(fresh.address())) {
+			new WorkHandler(new SiblingDirectory(fresh, 2), new WorkLedger(), () -> NOW_NANOS).register(server);
+			server.start();
+			assertThrows(NotRunException.class,
+					() -> this.client.report(fresh.address(), new OwnReports(this.member).next(Map.of())));
+			assertThrows(NotRunException.class, () -> this.client.total(fresh.address(), "member"));
+		}
 	}
 
 	private int post(byte[] body) throws PeerException {
