--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
@@ -113,7 +113,7 @@
 			if (ownEntry.isEmpty()) {
 				return this.store.create(KIND + "/" + this.name, value).isPresent();
 			}
-			if (this.self.isEmpty() || decode(ownEntry.get()).equals(this.self)) {
+			if (decode(ownEntry.get()).equals(this.self)) {
 				return true;
 			}
 			return this.store.replace(ownEntry.get().key(), value, ownEntry.get().version()).isPresent();
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RouterMembershipTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RouterMembershipTest.java
@@ -50,6 +50,15 @@
 		assertThat(this.store.objects.get("router/router-1").version()).isEqualTo(2);
 	}
 
+	@Test
+	void addressIsWithdrawnWhenItsSettingIsRemoved() {
+		membership(Optional.of(SELF)).listAndRegister(false);
+		assertThat(membership(Optional.empty()).listAndRegister(false)).isTrue();
+		membership(Optional.empty()).listAndRegister(true);
+		assertThat(this.siblings).isEmpty();
+		assertThat(this.count).isEqualTo(1);
+	}
+
 	@Test
 	void entriesWithoutAddressAreOnlyCounted() {
 		for (String entry : List.of("{}", "[]", "{\"address\":\"x\",\"data_centre\":\"dc\",\"incarnation\":1}",
