Bound the number of engines in a total

The sum of many reports could have more engines than a daemon accepts, so that all replies of a hub would have been refused. Found by reading; no test.

--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/WorkCodec.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/WorkCodec.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
 
@@ -69,7 +70,19 @@
 	 */
 	public static byte[] encode(WorkTotal total) {
 		return compress(Json.encode(new Total(total.daemons(), total.age().toMillis(), total.period().toMillis(),
-				encodeWork(total.work()))));
+				encodeWork(mostUsed(total.work())))));
+	}
+
+	// A total of many reports may have more engines than a message.
+	private static Map<String, ReportedWork> mostUsed(Map<String, ReportedWork> work) {
+		if (work.size() <= WorkReport.MAX_ENGINES) {
+			return work;
+		}
+		return work.entrySet()
+			.stream()
+			.sorted((first, second) -> Long.compare(second.getValue().requests(), first.getValue().requests()))
+			.limit(WorkReport.MAX_ENGINES)
+			.collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
 	}
 
 	static byte[] compress(byte[] json) {
