--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -213,6 +213,7 @@
 	}
 
 	private void runHousekeeping() {
+		this.siblingNetwork.ifPresent((network) -> network.server().closeTimedOutConnections());
 		this.placementView.set(this.relayControl.placementView());
 		Optional<CallerLimits> limits = this.relayControl.configuration().map(ServingConfiguration::limits);
 		limits.ifPresent((current) -> this.callerServer.closeTimedOutConnections(current.requestTimeout(),
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/SiblingServer.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/SiblingServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -29,6 +30,11 @@
 	 */
 	public static final int MAX_BODY_BYTES = 256 * 1024;
 
+	private static final Duration MESSAGE_TIMEOUT = Duration.ofSeconds(5);
+
+	/** Longer than daemons keep idle connections, so that they close them first. */
+	private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
 	private static final int STATUS_NOT_FOUND = 404;
 
 	private final Map<String, RelayHandler> handlers = new ConcurrentHashMap<>();
@@ -96,6 +102,11 @@
 		response.end();
 	}
 
+	/** Closes the connections of daemons that are gone or do not finish a message. */
+	public void closeTimedOutConnections() {
+		this.server.closeTimedOutConnections(MESSAGE_TIMEOUT, IDLE_TIMEOUT);
+	}
+
 	@Override
 	public void close() {
 		this.server.close();
