Let a report expire by the period in force when it came

When the period became shorter, reports that were sent at the longer one expired before the next was due. Found by reading; WorkLedgerTest guards it.

--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/WorkLedger.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/WorkLedger.java
@@ -35,7 +35,7 @@
 		if (last != null && !isNewer(report, last.report())) {
 			return false;
 		}
-		this.reports.put(report.sender(), new Received(report, nowNanos));
+		this.reports.put(report.sender(), new Received(report, nowNanos, this.period));
 		return true;
 	}
 
@@ -51,7 +51,7 @@
 	 * @param nowNanos the time on the daemon's monotonic clock
 	 */
 	public synchronized void recordTotal(String dataCentre, WorkTotal total, long nowNanos) {
-		this.totals.put(dataCentre, new Remote(total, nowNanos));
+		this.totals.put(dataCentre, new Remote(total, nowNanos, this.period));
 	}
 
 	/**
@@ -109,18 +109,21 @@
 	}
 
 	private void removeExpired(long nowNanos) {
-		long maxAgeNanos = EXPIRY_PERIODS * this.period.toNanos();
-		this.reports.values().removeIf((received) -> nowNanos - received.nanos() > maxAgeNanos);
-		this.totals.values().removeIf((remote) -> nowNanos - remote.nanos() > maxAgeNanos);
+		this.reports.values().removeIf((received) -> isExpired(received.nanos(), received.period(), nowNanos));
+		this.totals.values().removeIf((remote) -> isExpired(remote.nanos(), remote.period(), nowNanos));
 	}
 
-	/** A report and the time of its receipt. */
-	private record Received(WorkReport report, long nanos) {
+	private static boolean isExpired(long receivedNanos, Duration periodThen, long nowNanos) {
+		return nowNanos - receivedNanos > EXPIRY_PERIODS * periodThen.toNanos();
+	}
+
+	/** A report, the time of its receipt and the period that its sender kept to. */
+	private record Received(WorkReport report, long nanos, Duration period) {
 
 	}
 
-	/** A total of another data centre and the time of its receipt. */
-	private record Remote(WorkTotal total, long nanos) {
+	/** A total of another data centre, the time of its receipt and the period then. */
+	private record Remote(WorkTotal total, long nanos, Duration period) {
 
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/sibling/WorkLedgerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/WorkLedgerTest.java
@@ -38,6 +38,14 @@
 		assertThat(this.ledger.local(EXPIRY + PERIOD + 1).total().daemons()).isEqualTo(0);
 	}
 
+	@Test
+	void shorterPeriodDoesNotExpireReportsOfTheLongerOne() {
+		this.ledger.updatePeriod(ExchangeBudget.MAX_PERIOD);
+		this.ledger.record(report("a", 1, 1, 2), 0);
+		this.ledger.updatePeriod(ExchangeBudget.MIN_PERIOD);
+		assertThat(requests(this.ledger.local(EXPIRY + 1))).isEqualTo(2);
+	}
+
 	@Test
 	void pausedDaemonThatWakesReplacesNothingNewer() {
 		this.ledger.record(report("a", 2, 7, 2), 0);
