Move silent streams before their pause is too long, by shared silence and own pace

Streams on a path through a lost engine were moved after 600 ms of silence while their routes allow a pause of 200 to 300 ms. With [streams] early_moves, a planner without network watches the pace of each stream and the engines that were seen alive, and moves a stream while its restart still fits into the pause target of its route. Off without the setting; not yet measured.

--- a/mulberrycross/src/main/java/org/mulberrycross/caller/RouteRule.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/RouteRule.java
@@ -23,10 +23,12 @@
  * @param anonymous whether requests need no API key
  * @param resumable whether a stream may continue on another upstream after its last event
  * @param services the services among which requests are split, not empty
+ * @param pauseTarget the longest pause between two events of a stream that is still on
+ * time, or empty if the route declares none, not null
  */
 public record RouteRule(String name, String host, String pathPrefix, RouteKind kind, Duration timeout,
 		Duration targetLatency, int maxExecutions, int priority, boolean anonymous, boolean resumable,
-		List<WeightedService> services) {
+		List<WeightedService> services, Optional<Duration> pauseTarget) {
 
 	/**
 	 * Creates a route.
@@ -41,6 +43,8 @@
 	 * @param anonymous whether requests need no API key
 	 * @param resumable whether a stream may continue on another upstream
 	 * @param services the services among which requests are split, not empty
+	 * @param pauseTarget the longest pause of a stream that is on time, or empty, not
+	 * null
 	 */
 	public RouteRule {
 		Objects.requireNonNull(name, "name");
@@ -49,6 +53,7 @@
 		Objects.requireNonNull(kind, "kind");
 		Objects.requireNonNull(timeout, "timeout");
 		Objects.requireNonNull(targetLatency, "targetLatency");
+		Objects.requireNonNull(pauseTarget, "pauseTarget");
 		services = List.copyOf(services);
 		if (services.isEmpty() || maxExecutions < 1) {
 			throw new IllegalArgumentException(
@@ -56,6 +61,27 @@
 		}
 	}
 
+	/**
+	 * Creates a route that declares no longest pause.
+	 * @param name the name, not null
+	 * @param host the host to match, not null
+	 * @param pathPrefix the path prefix to match, not null
+	 * @param kind the retry semantics of its requests, not null
+	 * @param timeout the maximum time to the end of a response, not null
+	 * @param targetLatency the target latency, not null
+	 * @param maxExecutions the maximum number of upstreams that may execute a request
+	 * @param priority the priority, 0 for the most urgent
+	 * @param anonymous whether requests need no API key
+	 * @param resumable whether a stream may continue on another upstream
+	 * @param services the services among which requests are split, not empty
+	 */
+	public RouteRule(String name, String host, String pathPrefix, RouteKind kind, Duration timeout,
+			Duration targetLatency, int maxExecutions, int priority, boolean anonymous, boolean resumable,
+			List<WeightedService> services) {
+		this(name, host, pathPrefix, kind, timeout, targetLatency, maxExecutions, priority, anonymous, resumable,
+				services, Optional.empty());
+	}
+
 	/**
 	 * Returns whether a request that may have been executed can be retried.
 	 * @return true for idempotent requests and resumable streams
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
@@ -49,13 +49,15 @@
 
 	private final FailureHandler failureHandler;
 
+	private final EarlyMoves earlyMoves;
+
 	private final FirstEventTimes firstEventTimes = new FirstEventTimes();
 
 	private Optional<Long> lastSlowPathNanos = Optional.empty();
 
 	AttemptMonitor(ControlThread controlThread, UpstreamDirectory directory, UpstreamHealth health,
 			EngineSlowdowns slowdowns, EngineProber prober, InFlightRequests inFlight,
-			Predicate<RelayExchange> mayRetry, FailureHandler failureHandler) {
+			Predicate<RelayExchange> mayRetry, FailureHandler failureHandler, EarlyMoves earlyMoves) {
 		this.controlThread = controlThread;
 		this.directory = directory;
 		this.health = health;
@@ -64,9 +66,11 @@
 		this.inFlight = inFlight;
 		this.mayRetry = mayRetry;
 		this.failureHandler = failureHandler;
+		this.earlyMoves = earlyMoves;
 	}
 
 	void recordFirstData(RelayAttempt attempt, long nowNanos) {
+		this.earlyMoves.recordFirstData(attempt, nowNanos);
 		if (attempt.forwarding().path().isPresent()) {
 			this.firstEventTimes.record(Duration.ofNanos(nowNanos - attempt.startedNanos()));
 		}
@@ -74,6 +78,9 @@
 
 	// Checks the timeouts of all requests and refreshes the reports of slow engines.
 	void check(long nowNanos) {
+		this.earlyMoves.check(nowNanos)
+			.forEach(
+					(engine) -> this.prober.probe(engine, MIN_STALL_PROBE_INTERVAL, nowNanos, this::handleStallReport));
 		for (RelayExchange exchange : this.inFlight.snapshot()) {
 			if (exchange.rule() != null) {
 				checkTimeouts(exchange, nowNanos);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptTimeouts.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptTimeouts.java
@@ -20,7 +20,7 @@
 	/**
 	 * Time without data after which a started stream's first engine is probed for stalls.
 	 */
-	private static final Duration STREAM_PROBE_DELAY = Duration.ofMillis(250);
+	static final Duration STREAM_PROBE_DELAY = Duration.ofMillis(250);
 
 	/** Time without the first event after which a stream is started elsewhere. */
 	private static final Duration FIRST_EVENT_TIMEOUT = Duration.ofMillis(1500);
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
@@ -0,0 +1,225 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+import org.mulberrycross.engine.EngineInstance;
+import org.mulberrycross.engine.EnginePath;
+import org.mulberrycross.engine.EngineProfile;
+import org.mulberrycross.engine.ObservedStream;
+import org.mulberrycross.engine.RestartEstimate;
+import org.mulberrycross.engine.RestartTimes;
+import org.mulberrycross.engine.StreamMove;
+import org.mulberrycross.engine.StreamMovePlanner;
+import org.mulberrycross.engine.StreamPace;
+
+/**
+ * Moves silent streams to other paths before their pause exceeds the target of their
+ * route. Shows the streams in flight to the planner and carries out its moves as retries.
+ * Confined to the control thread; not thread-safe.
+ */
+final class EarlyMoves {
+
+	/**
+	 * Silence of a left path after which its first engine is asked which engine is
+	 * stalled, as for streams that are not moved.
+	 */
+	private static final Duration PROBE_DELAY = AttemptTimeouts.STREAM_PROBE_DELAY;
+
+	private final StreamMovePlanner planner = new StreamMovePlanner(RelayControl.CHECK_PERIOD);
+
+	private final RestartTimes restartTimes = new RestartTimes();
+
+	private final InFlightRequests inFlight;
+
+	private final UpstreamSelector selector;
+
+	private final UpstreamHealth health;
+
+	private final Function<String, Optional<EngineProfile>> profiles;
+
+	private final Predicate<RelayExchange> mayRetry;
+
+	private final AttemptMonitor.FailureHandler failureHandler;
+
+	private final RelayMetrics metrics;
+
+	private final RequestLog requestLog;
+
+	/** Last activity of the streams that have left a path and have no event since. */
+	private final Map<RelayExchange, Long> lostNanos = new HashMap<>();
+
+	private final List<UnclearPath> unclearPaths = new ArrayList<>();
+
+	private StreamPace firstEvents = StreamPace.initial();
+
+	private boolean enabled;
+
+	EarlyMoves(RelaySettings settings, InFlightRequests inFlight, UpstreamSelector selector, UpstreamHealth health,
+			Function<String, Optional<EngineProfile>> profiles, Predicate<RelayExchange> mayRetry,
+			AttemptMonitor.FailureHandler failureHandler, RelayMetrics metrics, RequestLog requestLog) {
+		this.inFlight = inFlight;
+		this.selector = selector;
+		this.health = health;
+		this.profiles = profiles;
+		this.mayRetry = mayRetry;
+		this.failureHandler = failureHandler;
+		this.metrics = metrics;
+		this.requestLog = requestLog;
+		reload(settings);
+	}
+
+	void reload(RelaySettings settings) {
+		this.enabled = settings.earlyMoves();
+	}
+
+	// Learns from the first event of an attempt how long paths need, and counts a stream
+	// that goes on after a loss as on time or late.
+	void recordFirstData(RelayAttempt attempt, long nowNanos) {
+		RelayExchange exchange = attempt.exchange();
+		Optional<Long> lost = Optional.ofNullable(this.lostNanos.remove(exchange));
+		lost.ifPresent((nanos) -> exchange.rule()
+			.pauseTarget()
+			.ifPresent((target) -> this.metrics.countStreamAfterLoss(nowNanos - nanos > target.toNanos())));
+		attempt.forwarding().path().ifPresent((path) -> {
+			Duration time = Duration.ofNanos(nowNanos - attempt.startedNanos());
+			this.firstEvents = this.firstEvents.withPause(time.toNanos());
+			profile(attempt).ifPresent((profile) -> this.restartTimes.record(profile, path,
+					tokensToRead(exchange, attempt.forwarding().lastEventId()), time));
+		});
+		attempt.upstreamIds().stream().filter(this.planner::isBlamed).forEach(this.health::recordSuccess);
+	}
+
+	// Records that an attempt whose stream had begun ended without the rest of it.
+	void recordLoss(RelayAttempt attempt) {
+		if (attempt.exchange().isStream() && attempt.exchange().isResponseStarted()) {
+			this.lostNanos.putIfAbsent(attempt.exchange(), attempt.lastActivityNanos());
+		}
+	}
+
+	// Moves the streams whose pause would become too long, and returns the engines to ask
+	// which engine is stalled, since the silence did not tell.
+	List<EngineInstance> check(long nowNanos) {
+		this.lostNanos.keySet().removeIf(RelayExchange::isFinished);
+		if (!this.enabled) {
+			return List.of();
+		}
+		Map<String, RelayAttempt> attempts = new LinkedHashMap<>();
+		List<ObservedStream> streams = new ArrayList<>();
+		for (RelayExchange exchange : this.inFlight.snapshot()) {
+			RelayAttempt attempt = exchange.currentAttempt();
+			if (exchange.rule() != null && attempt != null && attempt.wasSent()) {
+				observe(exchange, attempt).ifPresent((stream) -> {
+					attempts.put(stream.id(), attempt);
+					streams.add(stream);
+				});
+			}
+		}
+		List<StreamMove> moves = this.planner.plan(streams,
+				(stream, avoidedIds) -> estimateRestart(attempts.get(stream.id()), avoidedIds, nowNanos), nowNanos);
+		moves.forEach((move) -> move.culpritId()
+			.ifPresent((id) -> this.health.recordFailure(id, "its streams are silent", nowNanos)));
+		moves.forEach((move) -> carryOut(move, attempts.get(move.stream().id()), nowNanos));
+		this.metrics.countNeedlessMoves(this.planner.takeNeedlessMoves());
+		return takeDueProbes(nowNanos);
+	}
+
+	private Optional<ObservedStream> observe(RelayExchange exchange, RelayAttempt attempt) {
+		if (!exchange.isStream() || attempt.forwarding().path().isEmpty()) {
+			return Optional.empty();
+		}
+		long lastActivityNanos = attempt.lastActivityNanos();
+		boolean begun = attempt.hasReceivedData();
+		// A resumed stream is late by its pause, a new one by its first event.
+		Duration limit = exchange.rule().pauseTarget().orElse(exchange.rule().targetLatency());
+		if (!begun && !exchange.isResponseStarted()) {
+			limit = exchange.rule().targetLatency().minus(exchange.age(lastActivityNanos));
+		}
+		return Optional.of(new ObservedStream(exchange.call().id(), attempt.upstreamIds(), begun, lastActivityNanos,
+				begun ? attempt.pace() : this.firstEvents, limit,
+				exchange.rule().pauseTarget().isPresent() && this.mayRetry.test(exchange)));
+	}
+
+	// Estimates the restart on the path that would be selected now. Empty if it contains
+	// engines that are to be avoided or are ejected, for example as saturated.
+	private Optional<RestartEstimate> estimateRestart(RelayAttempt attempt, Set<String> avoidedIds, long nowNanos) {
+		RelayExchange exchange = attempt.exchange();
+		Set<String> suspectedBefore = Set.copyOf(exchange.suspectedUpstreams());
+		exchange.suspectedUpstreams().addAll(avoidedIds);
+		Optional<EnginePath> path = this.selector.select(exchange, exchange.remainingTime(nowNanos), nowNanos)
+			.flatMap(Forwarding::path);
+		exchange.suspectedUpstreams().retainAll(suspectedBefore);
+		return path
+			.filter((found) -> found.stages()
+				.stream()
+				.map((stage) -> stage.engine().id())
+				.noneMatch((id) -> avoidedIds.contains(id) || this.health.isEjected(id, nowNanos)))
+			.flatMap((found) -> profile(attempt).map((profile) -> this.restartTimes.estimate(profile, found,
+					tokensToRead(exchange, exchange.lastEventId()))));
+	}
+
+	private Optional<EngineProfile> profile(RelayAttempt attempt) {
+		return this.profiles.apply(attempt.forwarding().upstream().service());
+	}
+
+	// The ids of events count tokens.
+	private static double tokensToRead(RelayExchange exchange, OptionalLong lastEventId) {
+		return exchange.call().promptTokens() + Math.max(0, lastEventId.orElse(0));
+	}
+
+	private void carryOut(StreamMove move, RelayAttempt attempt, long nowNanos) {
+		RelayExchange exchange = attempt.exchange();
+		if (!this.mayRetry.test(exchange)) {
+			return;
+		}
+		this.planner.recordMoved(move, nowNanos);
+		this.metrics.countMove(move.cause());
+		this.requestLog.logMove(attempt, move);
+		if (move.culpritId().isEmpty()) {
+			this.unclearPaths.add(new UnclearPath(attempt.forwarding().path().orElseThrow().firstEngine(),
+					move.candidateIds(), move.stream().lastActivityNanos()));
+		}
+		exchange.suspectedUpstreams().addAll(move.candidateIds());
+		this.failureHandler.fail(attempt, move.culpritId().map(Set::of).orElse(Set.of()),
+				"silent, moved before its pause is too long", true);
+	}
+
+	// Returns the first engines of left paths at the time at which those of silent
+	// streams
+	// are asked, unless events have passed all engines of the path meanwhile.
+	private List<EngineInstance> takeDueProbes(long nowNanos) {
+		List<EngineInstance> due = new ArrayList<>();
+		for (Iterator<UnclearPath> paths = this.unclearPaths.iterator(); paths.hasNext();) {
+			UnclearPath path = paths.next();
+			if (nowNanos - path.lastActivityNanos() > PROBE_DELAY.toNanos()) {
+				paths.remove();
+				boolean explained = path.candidateIds()
+					.stream()
+					.anyMatch((id) -> this.planner.isBlamed(id) || this.health.isStalled(id, nowNanos));
+				boolean alive = path.candidateIds()
+					.stream()
+					.allMatch((id) -> this.planner.isAliveSince(id, path.lastActivityNanos()));
+				if (!explained && !alive) {
+					due.add(path.firstEngine());
+				}
+			}
+		}
+		return due;
+	}
+
+	/** A path that a stream left although it is not clear which engine is silent. */
+	private record UnclearPath(EngineInstance firstEngine, Set<String> candidateIds, long lastActivityNanos) {
+
+	}
+
+}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -7,6 +7,7 @@
 
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.RequestTokens;
+import org.mulberrycross.engine.StreamPace;
 import org.mulberrycross.http.BodyFraming;
 import org.mulberrycross.http.RelayCall;
 import org.mulberrycross.http.ResponseHead;
@@ -42,6 +43,8 @@
 
 	private volatile long lastDataNanos;
 
+	private volatile StreamPace pace = StreamPace.initial();
+
 	private volatile RelayCall call;
 
 	private volatile ResponseHead head;
@@ -146,6 +149,11 @@
 		return Math.max(this.sentNanos, this.lastDataNanos);
 	}
 
+	// Returns the usual pauses between events, without that since the last event.
+	StreamPace pace() {
+		return this.pace;
+	}
+
 	boolean hasReceivedData() {
 		return this.lastDataNanos != 0;
 	}
@@ -219,11 +227,14 @@
 	}
 
 	private void recordProgress() {
-		boolean first = this.lastDataNanos == 0;
-		this.lastDataNanos = System.nanoTime();
-		if (first) {
+		long previousNanos = this.lastDataNanos;
+		long nowNanos = System.nanoTime();
+		this.lastDataNanos = nowNanos;
+		if (previousNanos == 0) {
 			this.listener.onFirstData(this);
+			return;
 		}
+		this.pace = this.pace.withPause(nowNanos - previousNanos);
 	}
 
 	@Override
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -100,6 +100,8 @@
 
 	private final InFlightRequests inFlight;
 
+	private final EarlyMoves earlyMoves;
+
 	private final AttemptMonitor attemptMonitor;
 
 	private final CrashTracker crashTracker;
@@ -123,8 +125,11 @@
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
+		this.earlyMoves = new EarlyMoves(settings, this.inFlight, this.selector, this.health,
+				(service) -> configuration().map((present) -> present.profilesByService().get(service)), this::mayRetry,
+				this::handleFailedAttempt, metrics, this.requestLog);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
-				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt);
+				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt, this.earlyMoves);
 		this.crashTracker = new CrashTracker(clock,
 				(engine, onResult) -> engineProber.probe(engine, Duration.ZERO, clock.nanos(),
 						(probed, report) -> controlThread.post(() -> onResult.accept(report.isEmpty()))),
@@ -168,6 +173,7 @@
 		this.controlThread.post(() -> {
 			this.admission.reload(changed);
 			this.retryBudgets.reload(changed);
+			this.earlyMoves.reload(changed);
 		});
 	}
 
@@ -424,6 +430,7 @@
 			boolean mayHaveExecuted) {
 		RelayExchange exchange = attempt.exchange();
 		this.requestLog.logAttemptFailed(attempt, reason);
+		this.earlyMoves.recordLoss(attempt);
 		attempt.cancel();
 		this.selector.releaseLoad(attempt);
 		exchange.failedUpstreams().addAll(faultyIds);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
@@ -1,10 +1,13 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 
+import org.mulberrycross.engine.MoveCause;
+
 /**
  * Counters and latency histograms of a relaying daemon. Thread-safe.
  */
@@ -30,6 +33,21 @@
 		this.registry.counter("requests.sent_again").inc();
 	}
 
+	// Counts a stream that was moved before its pause was too long.
+	void countMove(MoveCause cause) {
+		this.registry.counter("streams.moved." + cause.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
+	// Counts moves after which the left path turned out to be sound.
+	void countNeedlessMoves(long count) {
+		this.registry.counter("streams.moved.needlessly").inc(count);
+	}
+
+	// Counts a stream that went on after its path was lost or left.
+	void countStreamAfterLoss(boolean late) {
+		this.registry.counter("streams.after_loss." + (late ? "late" : "on_time")).inc();
+	}
+
 	// Records the duration of a request. The outcome up to its first colon becomes the
 	// name of the metric.
 	void recordEnd(String outcome, Duration duration) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettings.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettings.java
@@ -19,10 +19,11 @@
  * @param retryRatio the permitted ratio of all daemons' retries to requests, per service
  * @param retryBurst the number of retries that all daemons may send beyond the ratio
  * @param retryWindow the sliding window for counting requests and retries, not null
+ * @param earlyMoves whether silent streams are moved before their pause is too long
  */
 public record RelaySettings(String name, String dataCentre, Address callerAddress, Address readinessAddress,
 		Address platformAddress, Duration revocationLimit, PropagationLimits propagationLimits, Duration shutdownGrace,
-		double retryRatio, double retryBurst, Duration retryWindow) {
+		double retryRatio, double retryBurst, Duration retryWindow, boolean earlyMoves) {
 
 	/**
 	 * Creates settings.
@@ -37,6 +38,7 @@
 	 * @param retryRatio the permitted ratio of retries to requests
 	 * @param retryBurst the number of retries permitted beyond the ratio
 	 * @param retryWindow the sliding window for counting requests and retries, not null
+	 * @param earlyMoves whether silent streams are moved before their pause is too long
 	 */
 	public RelaySettings {
 		Objects.requireNonNull(name, "name");
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -1,5 +1,6 @@
 package org.mulberrycross.router.relay;
 
+import java.time.Duration;
 import java.util.Locale;
 
 import org.slf4j.Logger;
@@ -7,6 +8,7 @@
 import org.slf4j.spi.NOPLoggingEventBuilder;
 
 import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.engine.StreamMove;
 
 /**
  * Rate-limited log of routing decisions. Lines beyond the limit are dropped and their
@@ -61,6 +63,23 @@
 			.log("attempt failed");
 	}
 
+	void logMove(RelayAttempt attempt, StreamMove move) {
+		nextLine().addKeyValue("request", attempt.exchange().call().id())
+			.addKeyValue("cause", move.cause())
+			.addKeyValue("engine", move.culpritId().orElse(""))
+			.addKeyValue("candidates", move.candidateIds())
+			.addKeyValue("silence_ms", Duration.ofNanos(move.silenceNanos()).toMillis())
+			.addKeyValue("pause_ms", millis(move.stream().pace().meanNanos()))
+			.addKeyValue("threshold_ms", millis(move.thresholdNanos()))
+			.addKeyValue("restart_ms", millis(move.restart().meanNanos()))
+			.addKeyValue("limit_ms", move.stream().silenceLimit().toMillis())
+			.log("moving silent stream");
+	}
+
+	private static long millis(double nanos) {
+		return Duration.ofNanos((long) nanos).toMillis();
+	}
+
 	void logRetry(RelayExchange exchange, String reason) {
 		nextLine().addKeyValue("request", exchange.call().id())
 			.addKeyValue("reason", reason)
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
@@ -29,7 +29,7 @@
 	private static final RelaySettings SETTINGS = new RelaySettings("router-1", "dc-1", new Address("127.0.0.1", 1),
 			new Address("127.0.0.1", 2), new Address("127.0.0.1", 3), Duration.ofSeconds(5),
 			new PropagationLimits(Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(3)),
-			Duration.ofSeconds(8), 0.2, 200, Duration.ofSeconds(10));
+			Duration.ofSeconds(8), 0.2, 200, Duration.ofSeconds(10), false);
 
 	private final RequestAdmission admission = new RequestAdmission(SETTINGS, MonotonicClock.system());
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RetryBudgetsTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RetryBudgetsTest.java
@@ -33,7 +33,7 @@
 	private static final RelaySettings SETTINGS = new RelaySettings("router-1", "dc-1", new Address("127.0.0.1", 1),
 			new Address("127.0.0.1", 2), new Address("127.0.0.1", 3), Duration.ofSeconds(5),
 			new PropagationLimits(Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(3)),
-			Duration.ofSeconds(8), RATIO, BURST, Duration.ofMillis(WINDOW_MILLIS));
+			Duration.ofSeconds(8), RATIO, BURST, Duration.ofMillis(WINDOW_MILLIS), false);
 
 	private static final RouteRule RULE = new RouteRule("route", "host", "/", RouteKind.IDEMPOTENT,
 			Duration.ofSeconds(1), Duration.ofSeconds(1), 2, 0, false, false,
