--- a/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
@@ -268,8 +268,10 @@
 			.stream()
 			.filter((id) -> !isAliveSince(id, dueNanos))
 			.collect(Collectors.toSet());
-		return Optional.of(new Silence(stream, nowNanos - sinceNanos, pace.get().noticeableNanos(),
-				pace.get().significantNanos(), candidateIds));
+		// The pace of another stream is no measure for a silence of this one alone.
+		double significantNanos = stream.pace().isKnown() ? pace.get().significantNanos() : Double.POSITIVE_INFINITY;
+		return Optional.of(new Silence(stream, nowNanos - sinceNanos, pace.get().noticeableNanos(), significantNanos,
+				candidateIds));
 	}
 
 	/** A noticeable silence and the engines that may be the cause. */
