--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
@@ -11,7 +11,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
-import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EnginePath;
@@ -36,6 +37,12 @@
 	 */
 	private static final Duration PROBE_DELAY = AttemptTimeouts.STREAM_PROBE_DELAY;
 
+	/**
+	 * Time without a connection after which no stream is moved to an engine; several
+	 * round trips within a region.
+	 */
+	private static final Duration SLOW_CONNECT_TIME = Duration.ofMillis(50);
+
 	private final StreamMovePlanner planner = new StreamMovePlanner(RelayControl.CHECK_PERIOD);
 
 	private final RestartTimes restartTimes = new RestartTimes();
@@ -48,7 +55,7 @@
 
 	private final Function<String, Optional<EngineProfile>> profiles;
 
-	private final Predicate<RelayExchange> mayRetry;
+	private final MoveCheck moveCheck;
 
 	private final AttemptMonitor.FailureHandler failureHandler;
 
@@ -63,16 +70,21 @@
 
 	private StreamPace firstEvents = StreamPace.initial();
 
+	/** Engines that may be silent or do not accept connections, at the last check. */
+	private Set<String> avoidedIds = Set.of();
+
+	private Set<String> unreachableIds = Set.of();
+
 	private boolean enabled;
 
 	EarlyMoves(RelaySettings settings, InFlightRequests inFlight, UpstreamSelector selector, UpstreamHealth health,
-			Function<String, Optional<EngineProfile>> profiles, Predicate<RelayExchange> mayRetry,
+			Function<String, Optional<EngineProfile>> profiles, MoveCheck moveCheck,
 			AttemptMonitor.FailureHandler failureHandler, RelayMetrics metrics, RequestLog requestLog) {
 		this.inFlight = inFlight;
 		this.selector = selector;
 		this.health = health;
 		this.profiles = profiles;
-		this.mayRetry = mayRetry;
+		this.moveCheck = moveCheck;
 		this.failureHandler = failureHandler;
 		this.metrics = metrics;
 		this.requestLog = requestLog;
@@ -88,9 +100,7 @@
 	void recordFirstData(RelayAttempt attempt, long nowNanos) {
 		RelayExchange exchange = attempt.exchange();
 		Optional<Long> lost = Optional.ofNullable(this.lostNanos.remove(exchange));
-		lost.ifPresent((nanos) -> exchange.rule()
-			.pauseTarget()
-			.ifPresent((target) -> this.metrics.countStreamAfterLoss(nowNanos - nanos > target.toNanos())));
+		lost.ifPresent((nanos) -> recordPause(exchange, Duration.ofNanos(nowNanos - nanos)));
 		attempt.forwarding().path().ifPresent((path) -> {
 			Duration time = Duration.ofNanos(nowNanos - attempt.startedNanos());
 			this.firstEvents = this.firstEvents.withPause(time.toNanos());
@@ -100,6 +110,13 @@
 		attempt.upstreamIds().stream().filter(this.planner::isBlamed).forEach(this.health::recordSuccess);
 	}
 
+	private void recordPause(RelayExchange exchange, Duration pause) {
+		exchange.rule().pauseTarget().ifPresent((target) -> {
+			this.metrics.countStreamAfterLoss(pause.compareTo(target) > 0);
+			this.requestLog.logContinued(exchange, pause, target);
+		});
+	}
+
 	// Records that an attempt whose stream had begun ended without the rest of it.
 	void recordLoss(RelayAttempt attempt) {
 		if (attempt.exchange().isStream() && attempt.exchange().isResponseStarted()) {
@@ -107,6 +124,17 @@
 		}
 	}
 
+	// Returns the first engines that have not accepted a connection for a while.
+	private Set<String> unreachable(long nowNanos) {
+		return this.inFlight.snapshot()
+			.stream()
+			.map(RelayExchange::currentAttempt)
+			.filter((attempt) -> attempt != null && !attempt.wasSent()
+					&& nowNanos - attempt.startedNanos() > SLOW_CONNECT_TIME.toNanos())
+			.map((attempt) -> attempt.forwarding().upstream().id())
+			.collect(Collectors.toSet());
+	}
+
 	// Moves the streams whose pause would become too long, and returns the engines to ask
 	// which engine is stalled, since the silence did not tell.
 	List<EngineInstance> check(long nowNanos) {
@@ -125,6 +153,7 @@
 				});
 			}
 		}
+		this.unreachableIds = unreachable(nowNanos);
 		List<StreamMove> moves = this.planner.plan(streams,
 				(stream, avoidedIds) -> estimateRestart(attempts.get(stream.id()), avoidedIds, nowNanos), nowNanos);
 		moves.forEach((move) -> move.culpritId()
@@ -147,15 +176,16 @@
 		}
 		return Optional.of(new ObservedStream(exchange.call().id(), attempt.upstreamIds(), begun, lastActivityNanos,
 				begun ? attempt.pace() : this.firstEvents, limit,
-				exchange.rule().pauseTarget().isPresent() && this.mayRetry.test(exchange)));
+				exchange.rule().pauseTarget().isPresent() && mayMove(exchange)));
 	}
 
 	// Estimates the restart on the path that would be selected now. Empty if it contains
 	// engines that are to be avoided or are ejected, for example as saturated.
-	private Optional<RestartEstimate> estimateRestart(RelayAttempt attempt, Set<String> avoidedIds, long nowNanos) {
+	private Optional<RestartEstimate> estimateRestart(RelayAttempt attempt, Set<String> silentIds, long nowNanos) {
+		this.avoidedIds = Stream.concat(silentIds.stream(), this.unreachableIds.stream()).collect(Collectors.toSet());
 		RelayExchange exchange = attempt.exchange();
 		Set<String> suspectedBefore = Set.copyOf(exchange.suspectedUpstreams());
-		exchange.suspectedUpstreams().addAll(avoidedIds);
+		exchange.suspectedUpstreams().addAll(this.avoidedIds);
 		Optional<EnginePath> path = this.selector.select(exchange, exchange.remainingTime(nowNanos), nowNanos)
 			.flatMap(Forwarding::path);
 		exchange.suspectedUpstreams().retainAll(suspectedBefore);
@@ -163,11 +193,15 @@
 			.filter((found) -> found.stages()
 				.stream()
 				.map((stage) -> stage.engine().id())
-				.noneMatch((id) -> avoidedIds.contains(id) || this.health.isEjected(id, nowNanos)))
+				.noneMatch((id) -> this.avoidedIds.contains(id) || this.health.isEjected(id, nowNanos)))
 			.flatMap((found) -> profile(attempt).map((profile) -> this.restartTimes.estimate(profile, found,
 					tokensToRead(exchange, exchange.lastEventId()))));
 	}
 
+	private boolean mayMove(RelayExchange exchange) {
+		return this.moveCheck.mayMove(exchange, this.lostNanos.size());
+	}
+
 	private Optional<EngineProfile> profile(RelayAttempt attempt) {
 		return this.profiles.apply(attempt.forwarding().upstream().service());
 	}
@@ -179,7 +213,7 @@
 
 	private void carryOut(StreamMove move, RelayAttempt attempt, long nowNanos) {
 		RelayExchange exchange = attempt.exchange();
-		if (!this.mayRetry.test(exchange)) {
+		if (!mayMove(exchange)) {
 			return;
 		}
 		this.planner.recordMoved(move, nowNanos);
@@ -189,14 +223,13 @@
 			this.unclearPaths.add(new UnclearPath(attempt.forwarding().path().orElseThrow().firstEngine(),
 					move.candidateIds(), move.stream().lastActivityNanos()));
 		}
-		exchange.suspectedUpstreams().addAll(move.candidateIds());
+		exchange.suspectedUpstreams().addAll(this.avoidedIds);
 		this.failureHandler.fail(attempt, move.culpritId().map(Set::of).orElse(Set.of()),
 				"silent, moved before its pause is too long", true);
 	}
 
-	// Returns the first engines of left paths at the time at which those of silent
-	// streams
-	// are asked, unless events have passed all engines of the path meanwhile.
+	// Returns the first engines of left paths when those of silent streams are asked too,
+	// unless the engine at fault is known or events have passed all engines meanwhile.
 	private List<EngineInstance> takeDueProbes(long nowNanos) {
 		List<EngineInstance> due = new ArrayList<>();
 		for (Iterator<UnclearPath> paths = this.unclearPaths.iterator(); paths.hasNext();) {
@@ -217,6 +250,15 @@
 		return due;
 	}
 
+	/** Decides whether a stream may be moved, by the retries that are left. */
+	@FunctionalInterface
+	interface MoveCheck {
+
+		// Returns whether a stream may be moved while others have been without an event.
+		boolean mayMove(RelayExchange exchange, int movesUnderWay);
+
+	}
+
 	/** A path that a stream left although it is not clear which engine is silent. */
 	private record UnclearPath(EngineInstance firstEngine, Set<String> candidateIds, long lastActivityNanos) {
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -126,7 +126,7 @@
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
 		this.earlyMoves = new EarlyMoves(settings, this.inFlight, this.selector, this.health,
-				(service) -> configuration().map((present) -> present.profilesByService().get(service)), this::mayRetry,
+				(service) -> configuration().map((present) -> present.profilesByService().get(service)), this::mayMove,
 				this::handleFailedAttempt, metrics, this.requestLog);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
 				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt, this.earlyMoves);
@@ -533,6 +533,14 @@
 		this.attemptMonitor.check(nowNanos);
 	}
 
+	// Returns whether a stream may be moved while others that have been moved may need
+	// another retry. A moved stream without a retry would be broken off if its new path
+	// has no room either.
+	private boolean mayMove(RelayExchange exchange, int movesUnderWay) {
+		return mayRetry(exchange)
+				&& this.retryBudgets.hasRetries(exchange.rule(), 2 + movesUnderWay, this.clock.nanos());
+	}
+
 	// Returns whether a retry is possible. A late response alone is no reason to fail a
 	// request, so without a possible retry the attempt continues.
 	private boolean mayRetry(RelayExchange exchange) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -76,6 +76,13 @@
 			.log("moving silent stream");
 	}
 
+	void logContinued(RelayExchange exchange, Duration pause, Duration target) {
+		nextLine().addKeyValue("request", exchange.call().id())
+			.addKeyValue("pause_ms", pause.toMillis())
+			.addKeyValue("target_ms", target.toMillis())
+			.log("stream continued on another path");
+	}
+
 	private static long millis(double nanos) {
 		return Duration.ofNanos((long) nanos).toMillis();
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryBudgets.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryBudgets.java
@@ -50,11 +50,17 @@
 
 	// Returns whether a retry is available for each service of the route.
 	boolean hasRetry(RouteRule rule, long nowNanos) {
+		return hasRetries(rule, 1, nowNanos);
+	}
+
+	// Returns whether a number of retries is available for each service of the route.
+	boolean hasRetries(RouteRule rule, int count, long nowNanos) {
 		double ratio = this.settings.retryRatio() * RATIO_SHARE;
 		double burst = Math.max(MIN_BURST, this.settings.retryBurst() * BURST_SHARE / this.daemonCount);
 		return rule.services()
 			.stream()
-			.allMatch((target) -> windowFor(target).allowsRetry(this.settings.retryWindow(), ratio, burst, nowNanos));
+			.allMatch((target) -> windowFor(target).allowsRetries(count, this.settings.retryWindow(), ratio, burst,
+					nowNanos));
 	}
 
 	// Takes a retry from the budget of each service of the route if each has one. Returns
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryWindow.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryWindow.java
@@ -24,12 +24,13 @@
 		this.retryTimes.add(nowNanos);
 	}
 
-	// Returns whether one more retry stays within ratio * requests + burst in the window.
-	boolean allowsRetry(Duration window, double ratio, double burst, long nowNanos) {
+	// Returns whether so many more retries stay within ratio * requests + burst in the
+	// window.
+	boolean allowsRetries(int count, Duration window, double ratio, double burst, long nowNanos) {
 		long windowStartNanos = nowNanos - window.toNanos();
 		dropBefore(this.requestTimes, windowStartNanos);
 		dropBefore(this.retryTimes, windowStartNanos);
-		return this.retryTimes.size() + 1 <= ratio * this.requestTimes.size() + burst;
+		return this.retryTimes.size() + count <= ratio * this.requestTimes.size() + burst;
 	}
 
 	private static void dropBefore(Deque<Long> times, long windowStartNanos) {
