--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -0,0 +1,179 @@
+package org.mulberrycross.router.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+
+import com.codahale.metrics.MetricRegistry;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.slf4j.helpers.NOPLogger;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.UpstreamInstance;
+import org.mulberrycross.caller.CallerLimits;
+import org.mulberrycross.caller.ClientCall;
+import org.mulberrycross.caller.RouteKind;
+import org.mulberrycross.caller.RouteRule;
+import org.mulberrycross.caller.RouteTable;
+import org.mulberrycross.caller.WeightedService;
+import org.mulberrycross.engine.AcceleratorKind;
+import org.mulberrycross.engine.EngineInstance;
+import org.mulberrycross.engine.EnginePath;
+import org.mulberrycross.engine.EngineProfile;
+import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.PathStage;
+import org.mulberrycross.engine.RequestTokens;
+import org.mulberrycross.http.Headers;
+import org.mulberrycross.http.RelayRequest;
+import org.mulberrycross.http.ResponseHead;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against streams that are given up although they cannot go on elsewhere, and
+ * against moves without the setting.
+ */
+class EarlyMovesTest {
+
+	private static final EngineProfile PROFILE = new EngineProfile(10, 100, 1, 1, 100, 100, 100, 1,
+			Map.of("kind", new AcceleratorKind("kind", 2000, 1, 1)));
+
+	private static final RouteRule RULE = new RouteRule("route", "host", "/", RouteKind.STREAM, Duration.ofSeconds(9),
+			Duration.ofSeconds(1), 3, 0, false, true, List.of(new WeightedService("model", 1)),
+			Optional.of(Duration.ofMillis(250)));
+
+	private static final long SILENCE_NANOS = Duration.ofMillis(230).toNanos();
+
+	private final UpstreamDirectory directory = new UpstreamDirectory();
+
+	private final UpstreamHealth health = new UpstreamHealth();
+
+	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.health, new EngineSlowdowns(),
+			"dc", new SplittableRandom(1), (engineId, own, nowNanos) -> own);
+
+	private final RelayMetrics metrics = new RelayMetrics(new MetricRegistry());
+
+	private final RequestLog requestLog = new RequestLog(NOPLogger.NOP_LOGGER, MonotonicClock.system());
+
+	private final InFlightRequests inFlight = new InFlightRequests(this.selector, this.metrics, this.requestLog,
+			MonotonicClock.system());
+
+	private final List<RelayAttempt> moved = new ArrayList<>();
+
+	private boolean retryLeft = true;
+
+	@BeforeEach
+	void configure() {
+		this.selector.configure(
+				new ServingConfiguration(1, RouteTable.of(List.of(RULE)), Optional.empty(), Map.of("model", PROFILE),
+						Map.of("model", "/"), new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1))));
+	}
+
+	private EngineInstance put(String id) {
+		UpstreamInstance instance = new UpstreamInstance(id, "model", new Address("10.0.0.1", 80), "dc", false, 134, 1);
+		EngineInstance engine = new EngineInstance(instance, "kind", Optional.of(new LayerRange(0, 10)), 1);
+		this.directory.put(new DirectoryEntry(instance, Optional.of(engine)));
+		return engine;
+	}
+
+	private EarlyMoves earlyMoves(boolean enabled) {
+		RelaySettings settings = new RelaySettings("router-1", "dc", new Address("127.0.0.1", 1),
+				new Address("127.0.0.1", 2), new Address("127.0.0.1", 3), Duration.ofSeconds(5),
+				new PropagationLimits(Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(3)),
+				Duration.ofSeconds(8), 1, 10, Duration.ofSeconds(10), enabled);
+		return new EarlyMoves(settings, this.inFlight, this.selector, this.health, (service) -> Optional.of(PROFILE),
+				(exchange, movesUnderWay) -> this.retryLeft,
+				(attempt, faultyIds, reason, mayHaveExecuted) -> this.moved.add(attempt), this.metrics,
+				this.requestLog);
+	}
+
+	private RelayAttempt startStream(EngineInstance engine) {
+		RelayExchange exchange = new RelayExchange(
+				new RelayRequest("POST", "/", Headers.of(List.of()), new byte[0]), new ClientCall("id", "host", "/",
+						Optional.empty(), Optional.empty(), 100, 100, OptionalLong.empty(), List.of()),
+				new RecordingWriter(), ClockReading.now(MonotonicClock.system()));
+		exchange.admit(RULE, Optional.empty());
+		this.inFlight.add(exchange);
+		EnginePath path = new EnginePath(List.of(new PathStage(engine, new LayerRange(0, 10))));
+		RelayAttempt attempt = new RelayAttempt(exchange,
+				new Forwarding(engine.upstream(), Duration.ofSeconds(9), Optional.empty(), Optional.of(path),
+						OptionalLong.empty()),
+				new SignedFormat(), new IgnoringListener(), new RequestTokens(100, 100), new ResponseBuffers());
+		exchange.startAttempt(attempt);
+		attempt.onRequestStarted();
+		attempt.onHead(new ResponseHead(200, Headers.of(List.of()), OptionalLong.empty()));
+		for (int id = 1; id < 10; id++) {
+			attempt.onData(("id: " + id + "\ndata: a\n\n").getBytes(StandardCharsets.UTF_8));
+		}
+		return attempt;
+	}
+
+	/**
+	 * Fails if a silent stream is given up although no other path or no retry is left, or
+	 * if it is moved without the setting.
+	 */
+	@Test
+	void movesSilentStreamOnlyIfItCanGoOnElsewhere() {
+		RelayAttempt attempt = startStream(put("lost"));
+		long nowNanos = attempt.lastActivityNanos() + SILENCE_NANOS;
+		EarlyMoves earlyMoves = earlyMoves(true);
+		earlyMoves.check(nowNanos);
+		assertThat(this.moved).isEmpty();
+		put("other");
+		this.retryLeft = false;
+		earlyMoves.check(nowNanos);
+		assertThat(this.moved).isEmpty();
+		this.retryLeft = true;
+		earlyMoves(false).check(nowNanos);
+		assertThat(this.moved).isEmpty();
+		earlyMoves.check(nowNanos);
+		assertThat(this.moved).containsExactly(attempt);
+		assertThat(attempt.exchange().suspectedUpstreams()).containsExactly("lost");
+		assertThat(this.health.isEjected("lost", nowNanos)).isTrue();
+	}
+
+	/** Fails if a silent stream is moved to an engine that has no room. */
+	@Test
+	void movesNoStreamToSaturatedEngine() {
+		RelayAttempt attempt = startStream(put("lost"));
+		long nowNanos = attempt.lastActivityNanos() + SILENCE_NANOS;
+		put("full");
+		this.health.recordSaturation("full", nowNanos);
+		earlyMoves(true).check(nowNanos);
+		assertThat(this.moved).isEmpty();
+	}
+
+	/** Takes the events of an attempt without any effect. */
+	private static final class IgnoringListener implements AttemptListener {
+
+		@Override
+		public void onNotice(RelayAttempt attempt, UpstreamResponseHead upstreamHead, long receivedNanos) {
+		}
+
+		@Override
+		public void onFirstData(RelayAttempt attempt) {
+		}
+
+		@Override
+		public void onCompleted(RelayAttempt attempt) {
+		}
+
+		@Override
+		public void onErrorResponse(RelayAttempt attempt, ResponseHead head, UpstreamResponseHead upstreamHead,
+				byte[] body) {
+		}
+
+		@Override
+		public void onAttemptFailed(RelayAttempt attempt, String reason) {
+		}
+
+	}
+
+}
