--- a/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
@@ -44,6 +44,12 @@
 	/** Share of the expected restart that some restarts take. */
 	private static final double FAST_RESTART_SHARE = 0.5;
 
+	/**
+	 * Restart of streams that are lost together, relative to that of one: they read their
+	 * tokens on the remaining engines at the same time.
+	 */
+	private static final double JOINT_RESTART_FACTOR = 2;
+
 	private final long checkPeriodNanos;
 
 	private final Map<String, Long> lastAliveNanos = new HashMap<>();
@@ -81,16 +87,23 @@
 		streams.stream().filter(ObservedStream::begun).forEach(this::recordAlive);
 		forgetOld(nowNanos);
 		Optional<StreamPace> usualPace = slowestPace(streams);
+		List<ObservedStream> begun = streams.stream().filter(ObservedStream::begun).toList();
+		double limit = Math.max(MIN_LIMIT, begun.size() * MAX_SHARE);
 		List<Silence> silences = streams.stream()
 			.flatMap((stream) -> silence(stream, usualPace, nowNanos).stream())
 			.toList();
-		long begun = streams.stream().filter(ObservedStream::begun).count();
 		long silent = silences.stream().filter((silence) -> silence.stream().begun()).count();
-		double limit = Math.max(MIN_LIMIT, begun * MAX_SHARE);
 		if (silent > limit) {
 			return List.of();
 		}
-		return select(silences, restarts, limit, nowNanos);
+		return select(silences.stream().filter((silence) -> countUnseen(begun, silence) <= limit).toList(), restarts,
+				limit, nowNanos);
+	}
+
+	// Returns the number of streams without an event since a silent one should have had
+	// its next one. If all stop at once, they do not become noticeable at the same time.
+	private static long countUnseen(List<ObservedStream> begun, Silence silence) {
+		return begun.stream().filter((stream) -> stream.lastActivityNanos() - silence.dueNanos() <= 0).count();
 	}
 
 	private List<StreamMove> select(List<Silence> silences, RestartEstimator restarts, double limit, long nowNanos) {
@@ -139,8 +152,8 @@
 			return false;
 		}
 		double reserveNanos = switch (cause) {
-			case LONE_SILENCE -> restart.meanNanos();
-			case SHARED_SILENCE -> restart.meanNanos() + restart.deviationNanos();
+			case LONE_SILENCE -> restart.meanNanos() + restart.deviationNanos();
+			case SHARED_SILENCE -> JOINT_RESTART_FACTOR * restart.meanNanos() + restart.deviationNanos();
 			case SILENT_ENGINE -> Double.POSITIVE_INFINITY;
 		};
 		return silence.nanos() + this.checkPeriodNanos + reserveNanos >= limitNanos;
@@ -263,20 +276,21 @@
 		if (pace.isEmpty() || nowNanos - sinceNanos < pace.get().noticeableNanos()) {
 			return Optional.empty();
 		}
-		long dueNanos = sinceNanos + (long) (stream.begun() ? pace.get().noticeableNanos() : 0);
+		long noticeableNanos = sinceNanos + (long) (stream.begun() ? pace.get().noticeableNanos() : 0);
 		Set<String> candidateIds = stream.engineIds()
 			.stream()
-			.filter((id) -> !isAliveSince(id, dueNanos))
+			.filter((id) -> !isAliveSince(id, noticeableNanos))
 			.collect(Collectors.toSet());
 		// The pace of another stream is no measure for a silence of this one alone.
 		double significantNanos = stream.pace().isKnown() ? pace.get().significantNanos() : Double.POSITIVE_INFINITY;
-		return Optional.of(new Silence(stream, nowNanos - sinceNanos, pace.get().noticeableNanos(), significantNanos,
-				candidateIds));
+		long usualNanos = sinceNanos + (long) pace.get().meanNanos();
+		return Optional.of(new Silence(stream, nowNanos - sinceNanos, usualNanos, pace.get().noticeableNanos(),
+				significantNanos, candidateIds));
 	}
 
 	/** A noticeable silence and the engines that may be the cause. */
-	private record Silence(ObservedStream stream, long nanos, double noticeableNanos, double significantNanos,
-			Set<String> candidateIds) {
+	private record Silence(ObservedStream stream, long nanos, long dueNanos, double noticeableNanos,
+			double significantNanos, Set<String> candidateIds) {
 
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -63,6 +63,12 @@
 	 */
 	private static final Duration MAX_SATURATION_REPLY_TIME = Duration.ofMillis(700);
 
+	/**
+	 * Streams under way to another path for each retry that is kept for them; about a
+	 * fifth of them find no room or no connection there.
+	 */
+	private static final int MOVES_PER_SPARE_RETRY = 4;
+
 	/** Minimum time before the deadline for an attempt to be worth sending. */
 	private static final Duration MIN_REMAINING_TIME = Duration.ofMillis(30);
 
@@ -533,12 +539,12 @@
 		this.attemptMonitor.check(nowNanos);
 	}
 
-	// Returns whether a stream may be moved while others that have been moved may need
-	// another retry. A moved stream without a retry would be broken off if its new path
-	// has no room either.
+	// Returns whether a stream may be moved while others that were moved have no event
+	// yet. A moved stream without another retry would be broken off if its new path has
+	// no room either.
 	private boolean mayMove(RelayExchange exchange, int movesUnderWay) {
-		return mayRetry(exchange)
-				&& this.retryBudgets.hasRetries(exchange.rule(), 2 + movesUnderWay, this.clock.nanos());
+		return mayRetry(exchange) && this.retryBudgets.hasRetries(exchange.rule(),
+				2 + movesUnderWay / MOVES_PER_SPARE_RETRY, this.clock.nanos());
 	}
 
 	// Returns whether a retry is possible. A late response alone is no reason to fail a
