--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -43,6 +44,9 @@
 	 */
 	private static final Duration SLOW_CONNECT_TIME = Duration.ofMillis(50);
 
+	/** Time in which the answer of an engine arrives and is acted on. */
+	private static final Duration PROBE_REPLY_TIME = Duration.ofMillis(400);
+
 	private final StreamMovePlanner planner = new StreamMovePlanner(RelayControl.CHECK_PERIOD);
 
 	private final RestartTimes restartTimes = new RestartTimes();
@@ -68,6 +72,9 @@
 
 	private final List<UnclearPath> unclearPaths = new ArrayList<>();
 
+	/** Paths whose first engine was asked shortly before. */
+	private final List<AskedPath> askedPaths = new ArrayList<>();
+
 	private StreamPace firstEvents = StreamPace.initial();
 
 	/** Engines that may be silent or do not accept connections, at the last check. */
@@ -229,27 +236,38 @@
 	}
 
 	// Returns the first engines of left paths when those of silent streams are asked too,
-	// unless the engine at fault is known or events have passed all engines meanwhile.
+	// unless the engine at fault is known or events have passed all engines meanwhile. Of
+	// paths with a common candidate, one is asked at a time.
 	private List<EngineInstance> takeDueProbes(long nowNanos) {
+		this.askedPaths.removeIf((asked) -> nowNanos - asked.askedNanos() > PROBE_REPLY_TIME.toNanos());
 		List<EngineInstance> due = new ArrayList<>();
 		for (Iterator<UnclearPath> paths = this.unclearPaths.iterator(); paths.hasNext();) {
 			UnclearPath path = paths.next();
-			if (nowNanos - path.lastActivityNanos() > PROBE_DELAY.toNanos()) {
+			if (nowNanos - path.lastActivityNanos() <= PROBE_DELAY.toNanos()) {
+				continue;
+			}
+			if (isExplained(path, nowNanos)) {
 				paths.remove();
-				boolean explained = path.candidateIds()
-					.stream()
-					.anyMatch((id) -> this.planner.isBlamed(id) || this.health.isStalled(id, nowNanos));
-				boolean alive = path.candidateIds()
-					.stream()
-					.allMatch((id) -> this.planner.isAliveSince(id, path.lastActivityNanos()));
-				if (!explained && !alive) {
-					due.add(path.firstEngine());
-				}
+			}
+			else if (this.askedPaths.stream()
+				.allMatch((asked) -> Collections.disjoint(asked.path().candidateIds(), path.candidateIds()))) {
+				paths.remove();
+				due.add(path.firstEngine());
+				this.askedPaths.add(new AskedPath(path, nowNanos));
 			}
 		}
 		return due;
 	}
 
+	private boolean isExplained(UnclearPath path, long nowNanos) {
+		return path.candidateIds()
+			.stream()
+			.anyMatch((id) -> this.planner.isBlamed(id) || this.health.isStalled(id, nowNanos))
+				|| path.candidateIds()
+					.stream()
+					.allMatch((id) -> this.planner.isAliveSince(id, path.lastActivityNanos()));
+	}
+
 	/** Decides whether a stream may be moved, by the retries that are left. */
 	@FunctionalInterface
 	interface MoveCheck {
@@ -264,4 +282,9 @@
 
 	}
 
+	/** A path whose first engine was asked at a time. */
+	private record AskedPath(UnclearPath path, long askedNanos) {
+
+	}
+
 }
