--- a/mulberrycross/src/main/java/org/mulberrycross/engine/StreamPace.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/StreamPace.java
@@ -23,6 +23,9 @@
 	 */
 	private static final double NOTICEABLE_DEVIATIONS = 3;
 
+	/** Multiple of the mean of a silence that is noticeable, however even the pace. */
+	private static final double NOTICEABLE_MULTIPLE = 2;
+
 	/** Deviations over the mean of a silence that is significant by itself. */
 	private static final double SIGNIFICANT_DEVIATIONS = 8;
 
@@ -65,7 +68,8 @@
 	 * @return the time, in nanoseconds
 	 */
 	public double noticeableNanos() {
-		return this.meanNanos + NOTICEABLE_DEVIATIONS * this.deviationNanos;
+		return Math.max(this.meanNanos + NOTICEABLE_DEVIATIONS * this.deviationNanos,
+				NOTICEABLE_MULTIPLE * this.meanNanos);
 	}
 
 	/**
@@ -73,8 +77,8 @@
 	 * @return the time, in nanoseconds
 	 */
 	public double significantNanos() {
-		return Math.max(this.meanNanos + SIGNIFICANT_DEVIATIONS * this.deviationNanos,
-				SIGNIFICANT_MULTIPLE * this.longestNanos);
+		return Math.max(noticeableNanos(), Math.max(this.meanNanos + SIGNIFICANT_DEVIATIONS * this.deviationNanos,
+				SIGNIFICANT_MULTIPLE * this.longestNanos));
 	}
 
 }
