--- a/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
@@ -50,6 +50,12 @@
 	 */
 	private static final double JOINT_RESTART_FACTOR = 2;
 
+	/**
+	 * Silent streams by which an engine is ahead of all others of a path if it is at
+	 * fault.
+	 */
+	private static final int BLAME_MARGIN = 2;
+
 	private final long checkPeriodNanos;
 
 	private final Map<String, Long> lastAliveNanos = new HashMap<>();
@@ -159,8 +165,10 @@
 		return silence.nanos() + this.checkPeriodNanos + reserveNanos >= limitNanos;
 	}
 
-	// Returns the engine at fault: the one that most silent streams share, if there is
-	// just one, or the only one of the path that was not seen since.
+	// Returns the engine at fault: the only one of the path that was not seen since, or
+	// the
+	// one that clearly more silent streams share than any other. When several engines are
+	// lost at once, streams on different ones often share a sound engine by chance.
 	private static Optional<String> culprit(Silence silence, Map<String, Integer> silentCounts) {
 		if (silence.candidateIds().size() == 1) {
 			return silence.candidateIds().stream().findFirst();
@@ -168,9 +176,9 @@
 		int most = silence.candidateIds().stream().mapToInt((id) -> silentCounts.getOrDefault(id, 0)).max().orElse(0);
 		List<String> shared = silence.candidateIds()
 			.stream()
-			.filter((id) -> silentCounts.getOrDefault(id, 0) == most)
+			.filter((id) -> silentCounts.getOrDefault(id, 0) > most - BLAME_MARGIN)
 			.toList();
-		return (most > 1 && shared.size() == 1) ? Optional.of(shared.get(0)) : Optional.empty();
+		return (shared.size() == 1) ? Optional.of(shared.get(0)) : Optional.empty();
 	}
 
 	// Counts for each engine the silent streams for which it is a candidate, with those
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/StreamMovePlannerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/StreamMovePlannerTest.java
@@ -105,17 +105,19 @@
 
 	/**
 	 * Fails if an engine is blamed for other requests although the silent streams share
-	 * several engines.
+	 * several, or although streams on two lost engines share it by chance.
 	 */
 	@Test
 	void blamesNoEngineIfSeveralAreShared() {
 		add(2, true, "a", "b");
-		add(3, true, "c", "d");
+		add(1, true, "lost", "shared");
+		add(1, true, "other", "shared");
+		add(5, true, "c", "d");
 		run(1, CRASH_MILLIS, (i) -> true);
-		run(CRASH_MILLIS, CRASH_MILLIS + 300, (i) -> i >= 2);
-		assertThat(this.moves).hasSize(2);
+		run(CRASH_MILLIS, CRASH_MILLIS + 300, (i) -> i >= 4);
+		assertThat(this.moves).hasSize(4);
 		this.moves.keySet().forEach((move) -> assertThat(move.culpritId()).isEmpty());
-		assertThat(this.planner.isBlamed("a") || this.planner.isBlamed("b")).isFalse();
+		assertThat(this.planner.isBlamed("a") || this.planner.isBlamed("shared")).isFalse();
 	}
 
 	/** Fails if an overload that slows all streams alike turns into a wave of moves. */
