--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -152,7 +152,7 @@
 				() -> WatchTiming.ofCrashEvents(this.propagationLimits), this.configurationWatcher::awaitStoreAvailable,
 				this.clock, new SplittableRandom(secureRandom.nextLong()));
 		this.siblingNetwork = SiblingNetwork.create(settings, System.currentTimeMillis());
-		this.loadExchange = this.siblingNetwork.filter((network) -> settings.siblings().shareLoad())
+		this.loadExchange = this.siblingNetwork.filter((network) -> settings.features().siblings().shareLoad())
 			.map((network) -> network.createLoadExchange(this.controlThread, this.relayControl, relayMetrics,
 					this.clock));
 		this.routerMembership = new RouterMembership(adapter.store(), settings.name(),
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -64,6 +64,12 @@
 	 */
 	private static final Duration MAX_SATURATION_REPLY_TIME = Duration.ofMillis(700);
 
+	/**
+	 * Streams under way to another path for each retry that is kept for them; about a
+	 * fifth of them find no room or no connection there.
+	 */
+	private static final int MOVES_PER_SPARE_RETRY = 4;
+
 	/** Minimum time before the deadline for an attempt to be worth sending. */
 	private static final Duration MIN_REMAINING_TIME = Duration.ofMillis(30);
 
@@ -101,6 +107,8 @@
 
 	private final InFlightRequests inFlight;
 
+	private final EarlyMoves earlyMoves;
+
 	private final AttemptMonitor attemptMonitor;
 
 	private final CrashTracker crashTracker;
@@ -124,8 +132,11 @@
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
+		this.earlyMoves = new EarlyMoves(settings, this.inFlight, this.selector, this.health,
+				(service) -> configuration().map((present) -> present.profilesByService().get(service)), this::mayMove,
+				this::handleFailedAttempt, metrics, this.requestLog);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
-				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt);
+				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt, this.earlyMoves);
 		this.crashTracker = new CrashTracker(clock,
 				(engine, onResult) -> engineProber.probe(engine, Duration.ZERO, clock.nanos(),
 						(probed, report) -> controlThread.post(() -> onResult.accept(report.isEmpty()))),
@@ -180,6 +191,7 @@
 		this.controlThread.post(() -> {
 			this.admission.reload(changed);
 			this.retryBudgets.reload(changed);
+			this.earlyMoves.reload(changed);
 		});
 	}
 
@@ -436,6 +448,7 @@
 			boolean mayHaveExecuted) {
 		RelayExchange exchange = attempt.exchange();
 		this.requestLog.logAttemptFailed(attempt, reason);
+		this.earlyMoves.recordLoss(attempt);
 		attempt.cancel();
 		this.selector.releaseLoad(attempt);
 		exchange.failedUpstreams().addAll(faultyIds);
@@ -538,6 +551,14 @@
 		this.attemptMonitor.check(nowNanos);
 	}
 
+	// Returns whether a stream may be moved while others that were moved have no event
+	// yet. A moved stream without another retry would be broken off if its new path has
+	// no room either.
+	private boolean mayMove(RelayExchange exchange, int movesUnderWay) {
+		return mayRetry(exchange) && this.retryBudgets.hasRetries(exchange.rule(),
+				2 + movesUnderWay / MOVES_PER_SPARE_RETRY, this.clock.nanos());
+	}
+
 	// Returns whether a retry is possible. A late response alone is no reason to fail a
 	// request, so without a possible retry the attempt continues.
 	private boolean mayRetry(RelayExchange exchange) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
@@ -73,10 +73,11 @@
 		SiblingSettings siblings = new SiblingSettings(file.optionalAddress("listen.siblings"),
 				file.integer("siblings.min_daemons", SiblingSettings.DEFAULT_MIN_DAEMONS, 2, MAX_MIN_DAEMONS),
 				file.flag("siblings.share_load", false));
+		RelayFeatures features = new RelayFeatures(siblings, file.flag("streams.early_moves", false));
 		file.throwIfInvalid();
 		return new RelaySettings(name.orElseThrow(), dataCentre.orElseThrow(), callerAddress.orElseThrow(),
 				readinessAddress.orElseThrow(), platformAddress.orElseThrow(), revocationLimit, propagationLimits,
-				secondsToDuration(shutdownGrace), retryRatio, retryBurst, secondsToDuration(retryWindow), siblings);
+				secondsToDuration(shutdownGrace), retryRatio, retryBurst, secondsToDuration(retryWindow), features);
 	}
 
 	private static Duration secondsToDuration(double seconds) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
@@ -37,12 +37,12 @@
 	// Returns empty if the settings contain no address for messages between daemons.
 	static Optional<SiblingNetwork> create(RelaySettings settings, long startMillis) throws IOException {
 		Objects.requireNonNull(settings, "settings");
-		Optional<Address> address = settings.siblings().address();
+		Optional<Address> address = settings.features().siblings().address();
 		if (address.isEmpty()) {
 			return Optional.empty();
 		}
 		Sibling self = new Sibling(settings.name(), address.get(), settings.dataCentre(), startMillis);
-		return Optional.of(new SiblingNetwork(self, settings.siblings().minDaemons()));
+		return Optional.of(new SiblingNetwork(self, settings.features().siblings().minDaemons()));
 	}
 
 	// Returns the known siblings, which also choose the hub.
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelaySettingsReaderTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelaySettingsReaderTest.java
@@ -10,7 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /**
- * Guards against messages between daemons that the settings do not ask for.
+ * Guards against a setting that changes what daemons do without being asked for.
  */
 class RelaySettingsReaderTest {
 
@@ -22,14 +22,14 @@
 			listen.readiness = "10.0.0.1:2"
 			""";
 
-	private static SiblingSettings parse(String lines) throws SettingsException {
-		return RelaySettingsReader.parse(SettingsFile.parse("router.toml", REQUIRED + lines)).siblings();
+	private static RelayFeatures parse(String lines) throws SettingsException {
+		return RelaySettingsReader.parse(SettingsFile.parse("router.toml", REQUIRED + lines)).features();
 	}
 
 	@Test
-	void siblingsAreOffUnlessSet() throws SettingsException {
-		assertThat(parse("")).isEqualTo(SiblingSettings.NONE);
-		SiblingSettings siblings = parse("listen.siblings = \"10.0.0.1:3\"\nsiblings.min_daemons = 20\n");
+	void optionalPartsAreOffUnlessSet() throws SettingsException {
+		assertThat(parse("")).isEqualTo(RelayFeatures.NONE);
+		SiblingSettings siblings = parse("listen.siblings = \"10.0.0.1:3\"\nsiblings.min_daemons = 20\n").siblings();
 		assertThat(siblings.address()).hasValue(new Address("10.0.0.1", 3));
 		assertThat(siblings.minDaemons()).isEqualTo(20);
 		assertThat(siblings.shareLoad()).isFalse();
@@ -44,4 +44,13 @@
 		assertThat(ex).hasMessageThat().contains("siblings.share_load");
 	}
 
+	/** Fails if streams are moved early without the setting, or in spite of it. */
+	@Test
+	void movesStreamsEarlyOnlyIfTold() throws SettingsException {
+		assertThat(parse("").earlyMoves()).isFalse();
+		assertThat(parse("streams.early_moves = true").earlyMoves()).isTrue();
+		SettingsException error = assertThrows(SettingsException.class, () -> parse("streams.early_moves = 1"));
+		assertThat(error.errors().get(0)).contains("true or false");
+	}
+
 }
