Let a watcher hear of changes from a sibling before it asks the store

Each daemon follows the configuration, the upstreams and the crash events at the store by itself. KindWatcher now asks a SiblingWatch first and passes on what it has read from the store itself through a ChangeFeed. SiblingChanges bounds the time of the last confirmation from below by the time of sending less the age that the sibling states, and HubWatch ends each query before that confirmation is older than WatchTiming.maxSiblingAge. Nothing is shared yet: all watchers use SiblingWatch.NONE.

--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
@@ -0,0 +1,212 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.WatchResult;
+import org.mulberrycross.sibling.ChangeSource;
+import org.mulberrycross.sibling.ChangesQuery;
+import org.mulberrycross.sibling.ChangesReply;
+
+/**
+ * Passes on to siblings what this daemon reads from the store about one kind of objects.
+ * Queries wait until the next call to the store ends, on whose thread they are answered.
+ * What this daemon has heard from a sibling is not passed on. Thread-safe.
+ */
+final class ChangeFeed implements ChangeSource {
+
+	/** Maximum number of waiting queries; one for each daemon of a data centre. */
+	private static final int MAX_WAITING = 512;
+
+	/**
+	 * Time since the last query after which nobody follows this daemon. Longer than a
+	 * call to the store with which a follower bridges a gap.
+	 */
+	private static final Duration FOLLOWER_EXPIRY = Duration.ofSeconds(8);
+
+	private final MonotonicClock clock;
+
+	private final ChangeLog log = new ChangeLog();
+
+	private final Set<Waiting> waiting = new LinkedHashSet<>();
+
+	private boolean storeAvailable = true;
+
+	/** The time at which the current call to the store ends if nothing changes. */
+	private OptionalLong nextConfirmationNanos = OptionalLong.empty();
+
+	private OptionalLong lastQueryNanos = OptionalLong.empty();
+
+	private int followerCount;
+
+	ChangeFeed(MonotonicClock clock) {
+		this.clock = Objects.requireNonNull(clock, "clock");
+	}
+
+	// Starts at a list of all objects read from the store.
+	void restart(long revision, ClockReading asOf) {
+		List<Answer> answers;
+		synchronized (this) {
+			this.storeAvailable = true;
+			this.log.restart(revision, asOf);
+			answers = answerWaiting();
+		}
+		answers.forEach(Answer::send);
+	}
+
+	// Records that a watch begins that ends after a time if nothing changes.
+	synchronized void startWatch(ClockReading sentAt, Duration timeout) {
+		this.nextConfirmationNanos = OptionalLong.of(sentAt.monotonicNanos() + timeout.toNanos());
+	}
+
+	// Adds the result of a watch of the store.
+	void append(long afterRevision, WatchResult result, ClockReading asOf) {
+		List<Answer> answers;
+		synchronized (this) {
+			this.storeAvailable = true;
+			this.nextConfirmationNanos = OptionalLong.empty();
+			this.log.append(afterRevision, result, asOf);
+			answers = answerWaiting();
+		}
+		answers.forEach(Answer::send);
+	}
+
+	// Records that the store does not answer this daemon.
+	void markStoreUnavailable() {
+		List<Answer> answers;
+		synchronized (this) {
+			this.storeAvailable = false;
+			this.nextConfirmationNanos = OptionalLong.empty();
+			answers = answerWaiting();
+		}
+		answers.forEach(Answer::send);
+	}
+
+	// Records that this daemon follows a sibling from now on.
+	void stopFollowingStore() {
+		List<Answer> answers;
+		synchronized (this) {
+			this.log.clear();
+			answers = answerWaiting();
+		}
+		answers.forEach(Answer::send);
+	}
+
+	// Returns the number of siblings that follow this daemon, 0 if there was no query for
+	// some time.
+	synchronized int followerCount() {
+		boolean followed = this.lastQueryNanos.isPresent()
+				&& this.clock.nanos() - this.lastQueryNanos.getAsLong() < FOLLOWER_EXPIRY.toNanos();
+		return followed ? Math.max(1, this.followerCount) : 0;
+	}
+
+	@Override
+	public Runnable request(ChangesQuery query, Consumer<ChangesReply> onReply) {
+		Waiting added = new Waiting(query, onReply, ClockReading.now(this.clock));
+		Optional<ChangesReply> reply;
+		synchronized (this) {
+			this.lastQueryNanos = OptionalLong.of(added.arrivedAt().monotonicNanos());
+			reply = replyNow(added);
+			if (reply.isEmpty() && !isConfirmedWithin(added)) {
+				reply = Optional.of(ChangesReply.of(ChangesReply.Status.BUSY));
+			}
+			if (reply.isEmpty()) {
+				this.waiting.add(added);
+			}
+		}
+		reply.ifPresent(onReply);
+		return () -> withdraw(added);
+	}
+
+	private synchronized void withdraw(Waiting withdrawn) {
+		this.waiting.remove(withdrawn);
+	}
+
+	// Returns the reply to a query that needs no further call to the store.
+	private Optional<ChangesReply> replyNow(Waiting query) {
+		if (!this.storeAvailable) {
+			return Optional.of(ChangesReply.of(ChangesReply.Status.STORE_UNAVAILABLE));
+		}
+		if (!this.log.isKnown()) {
+			return Optional.of(ChangesReply.of(ChangesReply.Status.NOT_FOLLOWED));
+		}
+		if (query.afterRevision() >= this.log.revision()) {
+			return Optional.empty();
+		}
+		return Optional.of(this.log.changesAfter(query.afterRevision())
+			.map((changes) -> knownReply(query, changes))
+			.orElse(ChangesReply.of(ChangesReply.Status.NOT_COVERED)));
+	}
+
+	// The age is rounded up, since the arithmetic of milliseconds rounds it down.
+	private ChangesReply knownReply(Waiting query, List<ObjectChange> changes) {
+		long ageMillis = this.log.confirmedAsOf().orElseThrow().ageMillis(query.arrivedAt()) + 1;
+		return new ChangesReply(ChangesReply.Status.KNOWN, Math.max(this.log.revision(), query.afterRevision()),
+				ageMillis, changes);
+	}
+
+	// Between two watches, the next one begins after a short pause.
+	private boolean isConfirmedWithin(Waiting query) {
+		long latestNanos = query.arrivedAt().monotonicNanos() + query.maxWait().toNanos();
+		return this.waiting.size() < MAX_WAITING && this.nextConfirmationNanos.orElse(latestNanos) - latestNanos <= 0;
+	}
+
+	// Takes the waiting queries and their replies. All changes before the confirmation
+	// have at most the revision of the log, so that it also holds for a sibling that has
+	// read a later revision.
+	private List<Answer> answerWaiting() {
+		List<Answer> answers = this.waiting.stream()
+			.map((query) -> new Answer(query, replyNow(query).orElseGet(() -> knownReply(query, List.of()))))
+			.toList();
+		this.waiting.clear();
+		this.followerCount = answers.size();
+		return answers;
+	}
+
+	/** A query and when it arrived. Equal only to itself. */
+	private static final class Waiting {
+
+		private final ChangesQuery query;
+
+		private final Consumer<ChangesReply> onReply;
+
+		private final ClockReading arrivedAt;
+
+		private Waiting(ChangesQuery query, Consumer<ChangesReply> onReply, ClockReading arrivedAt) {
+			this.query = query;
+			this.onReply = onReply;
+			this.arrivedAt = arrivedAt;
+		}
+
+		private long afterRevision() {
+			return this.query.afterRevision();
+		}
+
+		private Duration maxWait() {
+			return this.query.maxWait();
+		}
+
+		private ClockReading arrivedAt() {
+			return this.arrivedAt;
+		}
+
+	}
+
+	/** A reply to a query, sent without a lock. */
+	private record Answer(Waiting query, ChangesReply reply) {
+
+		void send() {
+			this.query.onReply.accept(this.reply);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
@@ -0,0 +1,109 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.mulberrycross.Address;
+import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.sibling.ChangesClient;
+import org.mulberrycross.sibling.ChangesQuery;
+import org.mulberrycross.sibling.ChangesReply;
+import org.mulberrycross.sibling.DataCentreHub;
+
+/**
+ * Asks the hub of the data centre for changes, and decides when the store must be asked
+ * in its place. Used by one thread.
+ */
+final class HubWatch implements SiblingWatch {
+
+	private static final Logger logger = LoggerFactory.getLogger(HubWatch.class);
+
+	/** Part of the time for a query that is left to its way to the hub and back. */
+	private static final Duration REPLY_MARGIN = Duration.ofMillis(150);
+
+	/** Minimum time for which a query is worth while. */
+	private static final Duration MIN_WAIT = Duration.ofMillis(50);
+
+	private final String kind;
+
+	private final DataCentreHub hub;
+
+	private final ChangesClient client;
+
+	private final MonotonicClock clock;
+
+	/** The last source in the log, empty for the store. */
+	private Optional<Address> source = Optional.empty();
+
+	HubWatch(String kind, DataCentreHub hub, ChangesClient client, MonotonicClock clock) {
+		this.kind = Objects.requireNonNull(kind, "kind");
+		this.hub = Objects.requireNonNull(hub, "hub");
+		this.client = Objects.requireNonNull(client, "client");
+		this.clock = Objects.requireNonNull(clock, "clock");
+	}
+
+	@Override
+	public Optional<SiblingChanges> changesAfter(long revision, ClockReading confirmedAsOf, Duration trust) {
+		ClockReading sentAt = ClockReading.now(this.clock);
+		Optional<Address> address = this.hub.address(sentAt.monotonicNanos());
+		if (address.isEmpty()) {
+			return useStore("this daemon is the hub or knows none");
+		}
+		Duration timeout = trust.minusMillis(confirmedAsOf.ageMillis(sentAt));
+		Duration wait = timeout.minus(REPLY_MARGIN);
+		if (wait.compareTo(MIN_WAIT) < 0) {
+			return useStore("confirmation is too old");
+		}
+		try {
+			ChangesReply reply = this.client.request(address.get(), new ChangesQuery(this.kind, revision, wait),
+					timeout);
+			return evaluate(reply, address.get(), revision, sentAt);
+		}
+		catch (PeerException ex) {
+			return avoid(address.get(), ex.toString());
+		}
+	}
+
+	private Optional<SiblingChanges> evaluate(ChangesReply reply, Address address, long revision, ClockReading sentAt) {
+		return switch (reply.status()) {
+			case KNOWN -> {
+				Optional<SiblingChanges> changes = SiblingChanges.of(reply, revision, sentAt,
+						ClockReading.now(this.clock));
+				if (changes.isEmpty()) {
+					yield avoid(address, "reply contradicts what is known");
+				}
+				logSource(Optional.of(address), "hub knows the changes");
+				yield changes;
+			}
+			case STORE_UNAVAILABLE -> avoid(address, "the store does not answer the hub");
+			default -> useStore("hub replied " + reply.status());
+		};
+	}
+
+	private Optional<SiblingChanges> avoid(Address address, String reason) {
+		this.hub.recordFailure(address, this.clock.nanos());
+		return useStore(reason);
+	}
+
+	private Optional<SiblingChanges> useStore(String reason) {
+		logSource(Optional.empty(), reason);
+		return Optional.empty();
+	}
+
+	private void logSource(Optional<Address> current, String reason) {
+		if (!current.equals(this.source)) {
+			this.source = current;
+			logger.atInfo()
+				.addKeyValue("kind", this.kind)
+				.addKeyValue("source", current.map(Address::toString).orElse("store"))
+				.addKeyValue("reason", reason)
+				.log("source of changes is another one");
+		}
+	}
+
+}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -23,8 +24,8 @@
 
 /**
  * Traffic thread that lists all objects of one kind in the store and then watches them
- * for changes. Every call has a timeout, so that a connection that has gone silent is
- * detected. Thread-safe.
+ * for changes, at a sibling that follows the store or at the store itself. Every call has
+ * a timeout, so that a connection that has gone silent is detected. Thread-safe.
  */
 final class KindWatcher implements AutoCloseable {
 
@@ -71,6 +72,14 @@
 
 	private final KindListener listener;
 
+	/** Asked for changes before the store. */
+	private final SiblingWatch siblingWatch;
+
+	/** Passes on to siblings what this watcher reads from the store. */
+	private final ChangeFeed feed;
+
+	private final WatchMetrics metrics;
+
 	private final Supplier<WatchTiming> timing;
 
 	/**
@@ -99,11 +108,17 @@
 
 	private ClockReading confirmedAsOf;
 
-	KindWatcher(ObjectStore store, String kind, KindListener listener, Supplier<WatchTiming> timing,
-			Runnable recoveryWait, MonotonicClock clock, RandomGenerator random) {
+	/** Whether the last confirmation came from a sibling. */
+	private boolean confirmedBySibling;
+
+	KindWatcher(ObjectStore store, String kind, KindListener listener, ChangeSharing sharing,
+			Supplier<WatchTiming> timing, Runnable recoveryWait, MonotonicClock clock, RandomGenerator random) {
 		this.store = Objects.requireNonNull(store, "store");
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.listener = Objects.requireNonNull(listener, "listener");
+		this.siblingWatch = sharing.siblingWatch();
+		this.feed = sharing.feed();
+		this.metrics = sharing.metrics();
 		this.timing = Objects.requireNonNull(timing, "timing");
 		this.recoveryWait = Objects.requireNonNull(recoveryWait, "recoveryWait");
 		this.clock = clock;
@@ -125,7 +140,8 @@
 					revision = list();
 					listed = true;
 				}
-				WatchResult result = watch(revision);
+				Optional<WatchResult> heard = watchSibling(revision);
+				WatchResult result = heard.isPresent() ? heard.get() : watchStore(revision);
 				listed = !result.compacted();
 				revision = result.revision();
 			}
@@ -146,6 +162,8 @@
 		ObjectPage all = listAll(this.store, this.kind);
 		recordSuccess();
 		this.confirmedAsOf = sentAt;
+		this.confirmedBySibling = false;
+		this.feed.restart(all.revision(), sentAt);
 		this.listener.onListed(all.objects(), sentAt);
 		return all.revision();
 	}
@@ -164,9 +182,33 @@
 		return new ObjectPage(revision, objects, false);
 	}
 
-	private WatchResult watch(long revision) throws PeerException {
+	// Asks a sibling unless the store is unavailable: its recovery is told by the store.
+	private Optional<WatchResult> watchSibling(long revision) {
+		if (!this.storeAvailable) {
+			return Optional.empty();
+		}
+		Optional<SiblingChanges> heard = this.siblingWatch.changesAfter(revision, this.confirmedAsOf,
+				this.timing.get().maxSiblingAge());
+		if (heard.isEmpty()) {
+			return Optional.empty();
+		}
+		this.feed.stopFollowingStore();
+		ClockReading now = ClockReading.now(this.clock);
+		ClockReading heardAsOf = heard.get().confirmedAsOf();
+		if (heardAsOf.ageMillis(now) < this.confirmedAsOf.ageMillis(now)) {
+			this.confirmedAsOf = heardAsOf;
+		}
+		this.confirmedBySibling = true;
+		this.metrics.countSiblingWatch(Duration.ofMillis(this.confirmedAsOf.ageMillis(now)));
+		WatchResult result = heard.get().result();
+		this.listener.onChanged(result.changes(), this.confirmedAsOf);
+		return Optional.of(result);
+	}
+
+	private WatchResult watchStore(long revision) throws PeerException {
 		ClockReading sentAt = startCall();
 		Duration timeout = nextWatchTimeout();
+		this.feed.startWatch(sentAt, timeout);
 		WatchResult result = this.store.watch(Set.of(this.kind), revision, timeout);
 		recordSuccess();
 		if (result.compacted()) {
@@ -179,6 +221,9 @@
 		boolean timedOut = (this.clock.nanos() - sentAt.monotonicNanos()) >= timeout.toNanos();
 		boolean changed = !result.changes().isEmpty();
 		this.confirmedAsOf = (!changed && timedOut) ? sentAt.plus(timeout) : sentAt;
+		this.confirmedBySibling = false;
+		this.metrics.countStoreWatch();
+		this.feed.append(revision, result, this.confirmedAsOf);
 		this.listener.onChanged(result.changes(), this.confirmedAsOf);
 		if (changed) {
 			pause(this.timing.get().batchDelay().toMillis());
@@ -197,13 +242,19 @@
 			return UNAVAILABLE_WATCH_TIMEOUT;
 		}
 		WatchTiming current = this.timing.get();
-		Duration untilConfirmation = current.maxConfirmationAge()
-			.minusNanos(this.clock.nanos() - this.confirmedAsOf.monotonicNanos());
-		Duration timeout = (untilConfirmation.compareTo(current.watchTimeout()) < 0) ? untilConfirmation
-				: current.watchTimeout();
+		// After a sibling has failed, the time until a silent connection to the store is
+		// noticed counts from the last confirmation as well.
+		Duration maxAge = this.confirmedBySibling ? min(current.maxConfirmationAge(), current.watchTimeout())
+				: current.maxConfirmationAge();
+		Duration untilConfirmation = maxAge.minusNanos(this.clock.nanos() - this.confirmedAsOf.monotonicNanos());
+		Duration timeout = min(untilConfirmation, current.watchTimeout());
 		return (timeout.compareTo(MIN_WATCH_TIMEOUT) < 0) ? MIN_WATCH_TIMEOUT : timeout;
 	}
 
+	private static Duration min(Duration left, Duration right) {
+		return (left.compareTo(right) < 0) ? left : right;
+	}
+
 	private void recordSuccess() {
 		if (this.storeAvailable) {
 			return;
@@ -223,6 +274,7 @@
 		if (isClosed()) {
 			return;
 		}
+		this.feed.markStoreUnavailable();
 		this.connectionLost = this.storeAvailable && cause instanceof OutcomeUnknownException
 				&& this.clock.nanos() - this.callStartedNanos >= MAX_REJECTION_TIME.toNanos();
 		if (this.storeAvailable) {
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingChanges.java
@@ -0,0 +1,40 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.mulberrycross.platform.WatchResult;
+import org.mulberrycross.sibling.ChangesReply;
+
+/**
+ * Changes that a sibling passed on, and the time up to which they are complete by the
+ * clocks of this daemon. Immutable and thread-safe.
+ *
+ * @param result the changes and the revision after them, not null
+ * @param confirmedAsOf the time up to which they are known to be complete, not null
+ */
+record SiblingChanges(WatchResult result, ClockReading confirmedAsOf) {
+
+	SiblingChanges {
+		Objects.requireNonNull(result, "result");
+		Objects.requireNonNull(confirmedAsOf, "confirmedAsOf");
+	}
+
+	// Returns the changes of a reply, or empty if it contradicts what is known: the
+	// revision goes back, a change is newer than the revision, or the confirmation is
+	// later than the reply. The query arrived at the sibling after it was sent, so the
+	// time of sending less the age is before the confirmation, whatever was delayed.
+	static Optional<SiblingChanges> of(ChangesReply reply, long afterRevision, ClockReading sentAt,
+			ClockReading receivedAt) {
+		boolean futureChange = reply.changes().stream().anyMatch((change) -> change.version() > reply.revision());
+		ClockReading confirmedAsOf = sentAt.plus(Duration.ofMillis(-reply.ageMillis()));
+		boolean futureConfirmation = confirmedAsOf.monotonicNanos() - receivedAt.monotonicNanos() > 0;
+		if (reply.revision() < afterRevision || futureChange || futureConfirmation) {
+			return Optional.empty();
+		}
+		return Optional
+			.of(new SiblingChanges(new WatchResult(reply.revision(), reply.changes(), false), confirmedAsOf));
+	}
+
+}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
@@ -11,8 +11,10 @@
  * @param maxConfirmationAge the age of the last confirmation that the known objects are
  * current by which the next watch must end, not null
  * @param batchDelay the pause after changes, so that changes accumulate, not null
+ * @param maxSiblingAge the age of the last confirmation by which a daemon that follows a
+ * sibling must ask the store itself, not null
  */
-record WatchTiming(Duration watchTimeout, Duration maxConfirmationAge, Duration batchDelay) {
+record WatchTiming(Duration watchTimeout, Duration maxConfirmationAge, Duration batchDelay, Duration maxSiblingAge) {
 
 	/**
 	 * Maximum timeout of a watch. With the time until its call fails, it stays below the
@@ -53,30 +55,51 @@
 	private static final Duration CRASH_EVENT_BATCH_DELAY = Duration.ofMillis(15);
 
 	/**
-	 * Additional pause for each daemon, since each change costs one call of each daemon:
-	 * all daemons together make at most 40 calls a second for changes of one kind.
+	 * Additional pause for each daemon that calls the store, since each change costs one
+	 * call of each: all together make at most 40 calls a second for changes of one kind.
 	 */
-	private static final Duration BATCH_DELAY_PER_DAEMON = Duration.ofMillis(25);
+	private static final Duration BATCH_DELAY_PER_CALLER = Duration.ofMillis(25);
+
+	/**
+	 * Part of a limit after which a daemon that hears nothing from a sibling asks the
+	 * store. The rest is left to that call and to decisions.
+	 */
+	private static final double SIBLING_AGE_FRACTION = 0.7;
+
+	/** The same part for crash events, in terms of the limit on leaving upstreams. */
+	private static final double CRASH_EVENT_SIBLING_AGE_FRACTION = 1.0;
+
+	/**
+	 * Part of the age at which siblings ask the store that passes between confirmations
+	 * for them. The rest is left to the pause after a change and the watch that follows.
+	 */
+	private static final double CONFIRMATION_FRACTION = 0.42;
 
 	WatchTiming {
 		Objects.requireNonNull(watchTimeout, "watchTimeout");
 		Objects.requireNonNull(maxConfirmationAge, "maxConfirmationAge");
 		Objects.requireNonNull(batchDelay, "batchDelay");
+		Objects.requireNonNull(maxSiblingAge, "maxSiblingAge");
 	}
 
-	// Returns the timing for the configuration in a fleet of daemons.
-	static WatchTiming ofConfiguration(PropagationLimits limits, int daemonCount) {
+	// Returns the timing for the configuration in a fleet where a number of daemons calls
+	// the store.
+	static WatchTiming ofConfiguration(PropagationLimits limits, int callerCount) {
 		Duration batchDelay = batchDelay(MIN_CONFIGURATION_BATCH_DELAY,
-				limits.configuration().dividedBy(CONFIGURATION_BATCH_DIVISOR), daemonCount);
-		return new WatchTiming(watchTimeout(limits, batchDelay), CONFIGURATION_CONFIRMATION_AGE, batchDelay);
+				limits.configuration().dividedBy(CONFIGURATION_BATCH_DIVISOR), callerCount);
+		Duration timeout = watchTimeout(limits, batchDelay);
+		return new WatchTiming(timeout, CONFIGURATION_CONFIRMATION_AGE, batchDelay,
+				min(fraction(limits.configuration(), SIBLING_AGE_FRACTION), timeout));
 	}
 
-	// Returns the timing for upstreams in a fleet of daemons.
-	static WatchTiming ofUpstreams(PropagationLimits limits, int daemonCount) {
+	// Returns the timing for upstreams in a fleet where a number of daemons calls the
+	// store.
+	static WatchTiming ofUpstreams(PropagationLimits limits, int callerCount) {
 		Duration batchDelay = batchDelay(MIN_UPSTREAM_BATCH_DELAY, limits.drain().dividedBy(UPSTREAM_BATCH_DIVISOR),
-				daemonCount);
+				callerCount);
 		Duration timeout = watchTimeout(limits, batchDelay);
-		return new WatchTiming(timeout, timeout.multipliedBy(2), batchDelay);
+		return new WatchTiming(timeout, timeout.multipliedBy(2), batchDelay,
+				min(fraction(limits.drain(), SIBLING_AGE_FRACTION), timeout));
 	}
 
 	// Returns the timing for events about requests that crash engines. They are rare, and
@@ -84,7 +107,19 @@
 	static WatchTiming ofCrashEvents(PropagationLimits limits) {
 		Duration timeout = min(limits.drain().plus(limits.contact()).minus(CRASH_EVENT_TIMEOUT_MARGIN),
 				MAX_CRASH_EVENT_TIMEOUT);
-		return new WatchTiming(timeout, timeout.multipliedBy(2), CRASH_EVENT_BATCH_DELAY);
+		return new WatchTiming(timeout, timeout.multipliedBy(2), CRASH_EVENT_BATCH_DELAY,
+				min(fraction(limits.drain(), CRASH_EVENT_SIBLING_AGE_FRACTION), timeout));
+	}
+
+	// Returns the timing for a daemon that siblings follow: it confirms its knowledge to
+	// them before they ask the store.
+	WatchTiming forFollowedDaemon() {
+		Duration timeout = min(fraction(this.maxSiblingAge, CONFIRMATION_FRACTION), this.watchTimeout);
+		return new WatchTiming(timeout, timeout, this.batchDelay, this.maxSiblingAge);
+	}
+
+	private static Duration fraction(Duration limit, double fraction) {
+		return Duration.ofNanos((long) (limit.toNanos() * fraction));
 	}
 
 	// The limits do not apply until the contact time after connections have gone silent.
@@ -94,8 +129,8 @@
 		return min(limits.contact().minus(RECONNECT_TIME).minus(batchDelay), MAX_TIMEOUT);
 	}
 
-	private static Duration batchDelay(Duration minimum, Duration maximum, int daemonCount) {
-		Duration delay = min(BATCH_DELAY_PER_DAEMON.multipliedBy(daemonCount), maximum);
+	private static Duration batchDelay(Duration minimum, Duration maximum, int callerCount) {
+		Duration delay = min(BATCH_DELAY_PER_CALLER.multipliedBy(callerCount), maximum);
 		return (delay.compareTo(minimum) < 0) ? minimum : delay;
 	}
 
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesCodec.java
@@ -0,0 +1,135 @@
+package org.mulberrycross.sibling.http;
+
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.Step;
+import org.mulberrycross.http.HttpReply;
+import org.mulberrycross.http.Json;
+import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StoredObject;
+import org.mulberrycross.sibling.ChangesQuery;
+import org.mulberrycross.sibling.ChangesReply;
+
+/**
+ * Encodes queries for changes as request targets and the replies as JSON. The values of
+ * objects are passed on as bytes, since other writers may store text that is not valid
+ * JSON. Thread-safe.
+ */
+public final class ChangesCodec {
+
+	/** Path of the queries. */
+	public static final String PATH = "/v1/changes";
+
+	private static final int STATUS_OK = 200;
+
+	private static final Map<ChangesReply.Status, Integer> STATUS_CODES = Map.of(ChangesReply.Status.KNOWN, STATUS_OK,
+			ChangesReply.Status.NOT_FOLLOWED, 404, ChangesReply.Status.NOT_COVERED, 410, ChangesReply.Status.BUSY, 429,
+			ChangesReply.Status.STORE_UNAVAILABLE, 503);
+
+	private ChangesCodec() {
+	}
+
+	/**
+	 * Encodes a query.
+	 * @param query the query, not null
+	 * @return the request target
+	 */
+	public static String encodeQuery(ChangesQuery query) {
+		return PATH + "?kind=" + URLEncoder.encode(query.kind(), StandardCharsets.UTF_8) + "&after="
+				+ query.afterRevision() + "&wait_ms=" + query.maxWait().toMillis();
+	}
+
+	/**
+	 * Decodes a query.
+	 * @param target the request target, not null
+	 * @return the query, or empty if it is not valid
+	 */
+	public static Optional<ChangesQuery> decodeQuery(String target) {
+		Map<String, String> parameters = new HashMap<>();
+		for (String parameter : target.substring(target.indexOf('?') + 1).split("&")) {
+			int separator = parameter.indexOf('=');
+			if (separator > 0) {
+				parameters.put(parameter.substring(0, separator), parameter.substring(separator + 1));
+			}
+		}
+		try {
+			String kind = URLDecoder.decode(parameters.getOrDefault("kind", ""), StandardCharsets.UTF_8);
+			long after = Long.parseLong(parameters.getOrDefault("after", ""));
+			int waitMillis = Integer.parseInt(parameters.getOrDefault("wait_ms", ""));
+			return Optional.of(new ChangesQuery(kind, after, Duration.ofMillis(waitMillis)));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	static int statusCode(ChangesReply reply) {
+		return STATUS_CODES.get(reply.status());
+	}
+
+	static byte[] encodeBody(ChangesReply reply) {
+		List<Change> changes = reply.changes()
+			.stream()
+			.map((change) -> new Change(change.key(), change.version(), change.object().map(StoredObject::value)))
+			.toList();
+		return Json.encode(new Body(OptionalLong.of(reply.revision()), OptionalLong.of(reply.ageMillis()), changes));
+	}
+
+	static ChangesReply decode(HttpReply reply, Peer peer) throws PeerException {
+		ChangesReply.Status status = STATUS_CODES.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() == reply.status())
+			.map(Map.Entry::getKey)
+			.findFirst()
+			.orElseThrow(() -> invalid(peer, "status " + reply.status()));
+		if (status != ChangesReply.Status.KNOWN) {
+			return ChangesReply.of(status);
+		}
+		Body body = Json.decode(reply.body(), Body.class, peer);
+		if (body.revision() == null || body.revision().isEmpty() || body.ageMs() == null || body.ageMs().isEmpty()
+				|| body.changes() == null) {
+			throw invalid(peer, "no revision, age or changes");
+		}
+		for (Change change : body.changes()) {
+			if (change == null || change.key() == null || change.key().indexOf('/') < 1) {
+				throw invalid(peer, "a change without a key");
+			}
+		}
+		return new ChangesReply(status, body.revision().getAsLong(), body.ageMs().getAsLong(),
+				body.changes().stream().map(ChangesCodec::toObjectChange).toList());
+	}
+
+	private static ObjectChange toObjectChange(Change change) {
+		return new ObjectChange(change.key(), change.version(),
+				change.value().map((value) -> new StoredObject(change.key(), change.version(), value)));
+	}
+
+	private static PeerException invalid(Peer peer, String reason) {
+		return new PeerException(Step.CODEC, peer, "reply with changes has " + reason);
+	}
+
+	/** The body of a reply. */
+	private record Body(OptionalLong revision, OptionalLong ageMs, List<Change> changes) {
+
+	}
+
+	/** A change; one without a value is a deletion. */
+	private record Change(String key, long version, Optional<byte[]> value) {
+
+		private Change {
+			value = (value != null) ? value : Optional.empty();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeFeedTest.java
@@ -0,0 +1,123 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.WatchResult;
+import org.mulberrycross.sibling.ChangesQuery;
+import org.mulberrycross.sibling.ChangesReply;
+import org.mulberrycross.sibling.ChangesReply.Status;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against siblings that wait in vain, or learn what was not read from the store.
+ */
+class ChangeFeedTest {
+
+	private static final Duration WAIT = Duration.ofMillis(1000);
+
+	private static final WatchResult CHANGE = new WatchResult(12,
+			List.of(new ObjectChange("servers/a", 12, Optional.empty())), false);
+
+	private long nowNanos;
+
+	private final ChangeFeed feed = new ChangeFeed(() -> this.nowNanos);
+
+	private final List<ChangesReply> replies = new ArrayList<>();
+
+	private ClockReading now() {
+		return ClockReading.now(() -> this.nowNanos);
+	}
+
+	private Runnable ask(long after) {
+		return this.feed.request(new ChangesQuery("servers", after, WAIT), this.replies::add);
+	}
+
+	private List<Status> statuses() {
+		return this.replies.stream().map(ChangesReply::status).toList();
+	}
+
+	/** Fails if a change reaches those that wait only at the end of their wait. */
+	@Test
+	void changeAnswersAllThatWait() {
+		this.feed.restart(10, now());
+		ask(10);
+		ask(11);
+		assertThat(this.replies).isEmpty();
+		this.feed.append(10, CHANGE, now());
+		assertThat(statuses()).containsExactly(Status.KNOWN, Status.KNOWN);
+		assertThat(this.replies.get(0).changes()).hasSize(1);
+		assertThat(this.feed.followerCount()).isEqualTo(2);
+	}
+
+	/**
+	 * Fails if a sibling whose own list is newer is set back, or never confirmed: all
+	 * changes before the confirmation are in the older revision.
+	 */
+	@Test
+	void confirmsToSiblingWithLaterRevision() {
+		this.feed.restart(10, now());
+		ask(15);
+		this.feed.append(10, CHANGE, now());
+		assertThat(this.replies.get(0).revision()).isEqualTo(15);
+		assertThat(this.replies.get(0).changes()).isEmpty();
+	}
+
+	/** Fails if a sibling waits for a watch that ends after it has gone to the store. */
+	@Test
+	void laterConfirmationIsRefusedAtOnce() {
+		this.feed.restart(10, now());
+		this.feed.startWatch(now(), WAIT.plusMillis(1));
+		ask(10);
+		assertThat(statuses()).containsExactly(Status.BUSY);
+		assertThat(this.feed.followerCount()).isEqualTo(1);
+	}
+
+	/**
+	 * Pattern: a daemon that follows a hub is asked as if it were the hub. Fails if it
+	 * passes on what it heard, so that ages of several daemons would add up.
+	 */
+	@Test
+	void whatWasHeardIsNotPassedOn() {
+		this.feed.restart(10, now());
+		ask(10);
+		this.feed.stopFollowingStore();
+		ask(10);
+		assertThat(statuses()).containsExactly(Status.NOT_FOLLOWED, Status.NOT_FOLLOWED);
+	}
+
+	/**
+	 * Pattern: the platform turns the hub away and not its followers. Fails if they are
+	 * left waiting until the store answers the hub again.
+	 */
+	@Test
+	void outageAtHubSendsSiblingsToTheStore() {
+		this.feed.restart(10, now());
+		ask(10);
+		this.feed.markStoreUnavailable();
+		ask(10);
+		this.feed.append(10, CHANGE, now());
+		ask(9);
+		ask(10);
+		assertThat(statuses()).containsExactly(Status.STORE_UNAVAILABLE, Status.STORE_UNAVAILABLE, Status.NOT_COVERED,
+				Status.KNOWN);
+	}
+
+	/** Fails if a withdrawn query is kept, or a daemon without followers calls often. */
+	@Test
+	void forgetsSiblingsThatLeft() {
+		this.feed.restart(10, now());
+		ask(10).run();
+		this.nowNanos += Duration.ofSeconds(9).toNanos();
+		this.feed.append(10, CHANGE, now());
+		assertThat(this.replies).isEmpty();
+		assertThat(this.feed.followerCount()).isEqualTo(0);
+	}
+
+}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.Test;
 
 import org.mulberrycross.MonotonicClock;
@@ -39,7 +40,7 @@
 	private static final String UNUSABLE = "unusable";
 
 	private static final WatchTiming TIMING = new WatchTiming(Duration.ofMillis(4000), Duration.ofDays(1),
-			Duration.ofMillis(1));
+			Duration.ofMillis(1), Duration.ofMillis(2000));
 
 	/** Stands for a call that loses its connection after a while. */
 	private static final WatchResult LOST_CONNECTION = new WatchResult(-1, List.of(), false);
@@ -48,11 +49,29 @@
 
 	private final BlockingQueue<String> notifications = new LinkedBlockingQueue<>();
 
+	private final ChangeFeed feed = new ChangeFeed(MonotonicClock.system());
+
 	private KindWatcher newWatcher(BlockingQueue<WatchResult> results) {
-		return new KindWatcher(new FakeStore(results), "servers", new RecordingListener(), () -> TIMING,
+		return newWatcher(results, SiblingWatch.NONE);
+	}
+
+	private KindWatcher newWatcher(BlockingQueue<WatchResult> results, SiblingWatch siblings) {
+		return new KindWatcher(new FakeStore(results), "servers", new RecordingListener(),
+				new ChangeSharing(siblings, this.feed, new WatchMetrics(new MetricRegistry(), "servers")), () -> TIMING,
 				() -> this.calls.add("wait for recovery"), MonotonicClock.system(), new SplittableRandom(1));
 	}
 
+	// Records the query and returns the next reply; one with revision 0 stands for none.
+	private SiblingWatch siblings(BlockingQueue<WatchResult> replies) {
+		return (revision, confirmedAsOf, trust) -> {
+			this.calls.add("ask sibling after " + revision);
+			WatchResult reply = replies.poll();
+			return Optional.ofNullable(reply)
+				.filter((known) -> known.revision() > 0)
+				.map((known) -> new SiblingChanges(known, confirmedAsOf));
+		};
+	}
+
 	private static WatchResult result(long revision, boolean compacted, String... names) {
 		List<ObjectChange> changes = List.of(names)
 			.stream()
@@ -130,10 +149,12 @@
 	 */
 	@Test
 	void confirmsChangesWithinMaxAge() throws Exception {
-		WatchTiming shortAge = new WatchTiming(Duration.ofMillis(4000), Duration.ofMillis(300), Duration.ofMillis(1));
+		WatchTiming shortAge = new WatchTiming(Duration.ofMillis(4000), Duration.ofMillis(300), Duration.ofMillis(1),
+				Duration.ofMillis(200));
 		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(7, false, "a")));
 		try (KindWatcher watcher = new KindWatcher(new FakeStore(results), "servers", new RecordingListener(),
-				() -> shortAge, KindWatcher.NO_RECOVERY_WAIT, MonotonicClock.system(), new SplittableRandom(1))) {
+				ChangeSharing.none("servers", new MetricRegistry(), MonotonicClock.system()), () -> shortAge,
+				KindWatcher.NO_RECOVERY_WAIT, MonotonicClock.system(), new SplittableRandom(1))) {
 			watcher.start();
 			assertThat(poll(this.calls)).isEqualTo("list");
 			assertThat(poll(this.calls)).isEqualTo("watch 5 for 300");
@@ -170,6 +191,52 @@
 		}
 	}
 
+	/**
+	 * Pattern: a daemon follows a sibling that then falls silent. Fails if it lists all
+	 * objects again in place of one watch at the revision that it knows, if it takes the
+	 * loss of the sibling for an outage of the store, or if it does not return to it.
+	 */
+	@Test
+	void continuesAtTheStoreAndReturnsToSibling() throws Exception {
+		BlockingQueue<WatchResult> replies = new LinkedBlockingQueue<>(
+				List.of(result(7, false, "a"), result(0, false), result(11, false, "c")));
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(9, false, "b")));
+		try (KindWatcher watcher = newWatcher(results, siblings(replies))) {
+			watcher.start();
+			assertThat(poll(this.calls)).isEqualTo("list");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 5");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 7");
+			assertThat(poll(this.calls)).startsWith("watch 7 for ");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 9");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 11");
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			for (int i = 0; i < 3; i++) {
+				assertThat(poll(this.notifications)).isEqualTo("changed 1");
+			}
+			assertThat(this.notifications).isEmpty();
+		}
+	}
+
+	/**
+	 * Pattern: the store is down. Fails if a sibling is asked before the store has
+	 * answered again: entries that lapsed meanwhile would be removed at once.
+	 */
+	@Test
+	void asksNoSiblingWhileStoreIsUnavailable() throws Exception {
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(
+				List.of(result(0, false), result(7, false, "a")));
+		BlockingQueue<WatchResult> replies = new LinkedBlockingQueue<>();
+		try (KindWatcher watcher = newWatcher(results, siblings(replies))) {
+			watcher.start();
+			assertThat(poll(this.calls)).isEqualTo("list");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 5");
+			assertThat(poll(this.calls)).startsWith("watch 5 for ");
+			assertThat(poll(this.calls)).isEqualTo("wait for recovery");
+			assertThat(poll(this.calls)).isEqualTo("watch 5 for 100");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 7");
+		}
+	}
+
 	/**
 	 * Returns queued watch results; a result with revision 0 stands for a failed call.
 	 */
--- /dev/null
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/http/ChangesCodecTest.java
@@ -0,0 +1,71 @@
+package org.mulberrycross.sibling.http;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mulberrycross.Peer;
+import org.mulberrycross.PeerException;
+import org.mulberrycross.http.HttpReply;
+import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StoredObject;
+import org.mulberrycross.sibling.ChangesQuery;
+import org.mulberrycross.sibling.ChangesReply;
+import org.mulberrycross.sibling.ChangesReply.Status;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/**
+ * Guards against replies whose changes or age are lost on the way.
+ */
+class ChangesCodecTest {
+
+	private static final Peer PEER = new Peer(Peer.Kind.SIBLING, "");
+
+	/** Fails if an entry of another writer that is not valid JSON cannot be passed on. */
+	@Test
+	void passesOnAnyBytes() throws PeerException {
+		byte[] value = { '{', (byte) 0xff, 0 };
+		ChangesReply reply = new ChangesReply(Status.KNOWN, 9, -3,
+				List.of(new ObjectChange("servers/a", 8, Optional.of(new StoredObject("servers/a", 8, value))),
+						new ObjectChange("servers/b", 9, Optional.empty())));
+		ChangesReply decoded = ChangesCodec
+			.decode(new HttpReply(ChangesCodec.statusCode(reply), Map.of(), ChangesCodec.encodeBody(reply)), PEER);
+		assertThat(decoded.revision()).isEqualTo(9);
+		assertThat(decoded.ageMillis()).isEqualTo(-3);
+		assertThat(decoded.changes().get(0).object().orElseThrow().value()).isEqualTo(value);
+		assertThat(decoded.changes().get(1)).isEqualTo(reply.changes().get(1));
+	}
+
+	/** Fails if a reply without an age counts as confirmed just now. */
+	@ParameterizedTest
+	@ValueSource(strings = { "{\"revision\":9,\"changes\":[]}", "{\"age_ms\":0,\"changes\":[]}",
+			"{\"revision\":9,\"age_ms\":0}", "{\"revision\":9,\"age_ms\":0,\"changes\":[null]}", "[]", "x" })
+	void rejectsIncompleteReply(String body) {
+		HttpReply reply = new HttpReply(200, Map.of(), body.getBytes(StandardCharsets.UTF_8));
+		assertThrows(PeerException.class, () -> ChangesCodec.decode(reply, PEER));
+	}
+
+	/** Fails if a refusal loses its reason, or an odd query ends the handler. */
+	@Test
+	void keepsStatusAndQuery() throws PeerException {
+		for (Status status : Status.values()) {
+			ChangesReply reply = ChangesReply.of(status);
+			assertThat(ChangesCodec
+				.decode(new HttpReply(ChangesCodec.statusCode(reply), Map.of(), ChangesCodec.encodeBody(reply)), PEER)
+				.status()).isEqualTo(status);
+		}
+		ChangesQuery query = new ChangesQuery("a b&c", 7, Duration.ofMillis(900));
+		assertThat(ChangesCodec.decodeQuery(ChangesCodec.encodeQuery(query))).hasValue(query);
+		assertThat(ChangesCodec.decodeQuery("/v1/changes?kind=%&after=1&wait_ms=1")).isEmpty();
+		assertThat(ChangesCodec.decodeQuery("/v1/changes")).isEmpty();
+	}
+
+}
