Pass changes of the store on within a data centre

With siblings.share_changes, the hub of a data centre passes on at /v1/changes what it reads itself, and the others ask the store only when it is silent, lacks the changes, contradicts itself or is turned away by the store. A daemon that is followed confirms its knowledge to the others before they ask the store, and its pause after changes counts the daemons that call the store.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
@@ -67,13 +67,19 @@
 		this.nextConfirmationNanos = OptionalLong.of(sentAt.monotonicNanos() + timeout.toNanos());
 	}
 
-	// Adds the result of a watch of the store.
+	// Adds the result of a watch of the store. Changes are kept only while siblings
+	// follow.
 	void append(long afterRevision, WatchResult result, ClockReading asOf) {
 		List<Answer> answers;
 		synchronized (this) {
 			this.storeAvailable = true;
 			this.nextConfirmationNanos = OptionalLong.empty();
-			this.log.append(afterRevision, result, asOf);
+			if (followerCount() > 0) {
+				this.log.append(afterRevision, result, asOf);
+			}
+			else {
+				this.log.restart(result.revision(), asOf);
+			}
 			answers = answerWaiting();
 		}
 		answers.forEach(Answer::send);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeSharing.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeSharing.java
@@ -2,10 +2,6 @@
 
 import java.util.Objects;
 
-import com.codahale.metrics.MetricRegistry;
-
-import org.mulberrycross.MonotonicClock;
-
 /**
  * How the watcher of one kind of objects shares what it reads with siblings. Thread-safe.
  *
@@ -21,11 +17,6 @@
 		Objects.requireNonNull(metrics, "metrics");
 	}
 
-	// Returns the sharing of a watcher that always asks the store.
-	static ChangeSharing none(String kind, MetricRegistry registry, MonotonicClock clock) {
-		return new ChangeSharing(SiblingWatch.NONE, new ChangeFeed(clock), new WatchMetrics(registry, kind));
-	}
-
 	// Returns the number of daemons of a fleet that call the store, if each of those that
 	// do is followed by as many as this one.
 	int callerCount(int daemonCount) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -139,26 +139,29 @@
 		this.readinessServer = new RelayServer(settings.readinessAddress(), this::handleProbe);
 		this.propagationLimits = settings.propagationLimits();
 		this.settingsReloader = new SettingsReloader(source, settings, this::reload);
-		ChangeSharing configurationSharing = ChangeSharing.none(adapter.configurationKind(), this.metrics, this.clock);
+		this.siblingNetwork = SiblingNetwork.create(settings, System.currentTimeMillis());
+		StoreSharing storeSharing = new StoreSharing(
+				this.siblingNetwork.filter((network) -> settings.siblings().shareChanges()), this.metrics, this.clock);
+		ChangeSharing configurationSharing = storeSharing.share(adapter.configurationKind());
 		this.configurationWatcher = new KindWatcher(adapter.store(), adapter.configurationKind(),
 				new ConfigurationListener(adapter.configurationKind(), adapter.configurationDecoder()),
 				configurationSharing,
 				() -> configurationSharing.adapt(WatchTiming.ofConfiguration(this.propagationLimits,
 						configurationSharing.callerCount(this.daemonCount))),
 				KindWatcher.NO_RECOVERY_WAIT, this.clock, new SplittableRandom(secureRandom.nextLong()));
-		ChangeSharing upstreamSharing = ChangeSharing.none(adapter.upstreamKind(), this.metrics, this.clock);
+		ChangeSharing upstreamSharing = storeSharing.share(adapter.upstreamKind());
 		this.upstreamWatcher = new KindWatcher(adapter.store(), adapter.upstreamKind(),
 				new UpstreamListener(adapter.upstreamKind(), adapter.upstreamDecoder()), upstreamSharing,
 				() -> upstreamSharing.adapt(
 						WatchTiming.ofUpstreams(this.propagationLimits, upstreamSharing.callerCount(this.daemonCount))),
 				this.configurationWatcher::awaitStoreAvailable, this.clock,
 				new SplittableRandom(secureRandom.nextLong()));
-		ChangeSharing eventSharing = ChangeSharing.none(CrashEventSharing.KIND, this.metrics, this.clock);
+		ChangeSharing eventSharing = storeSharing.share(CrashEventSharing.KIND);
 		this.crashEventWatcher = new KindWatcher(adapter.store(), CrashEventSharing.KIND, this.crashEventSharing,
 				eventSharing, () -> eventSharing.adapt(WatchTiming.ofCrashEvents(this.propagationLimits)),
 				this.configurationWatcher::awaitStoreAvailable, this.clock,
 				new SplittableRandom(secureRandom.nextLong()));
-		this.siblingNetwork = SiblingNetwork.create(settings, System.currentTimeMillis());
+		storeSharing.serve();
 		this.loadExchange = this.siblingNetwork.filter((network) -> settings.siblings().shareLoad())
 			.map((network) -> network.createLoadExchange(this.controlThread, this.relayControl, relayMetrics,
 					this.clock));
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesHandler.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesHandler.java
@@ -1,16 +1,10 @@
 package org.mulberrycross.sibling.http;
 
-import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 
-import org.mulberrycross.http.HeaderField;
-import org.mulberrycross.http.Headers;
 import org.mulberrycross.http.RelayHandler;
 import org.mulberrycross.http.RelayRequest;
-import org.mulberrycross.http.ResponseHead;
 import org.mulberrycross.http.ResponseWriter;
 import org.mulberrycross.sibling.ChangeSource;
 import org.mulberrycross.sibling.ChangesQuery;
@@ -38,7 +32,7 @@
 	public void handle(RelayRequest request, ResponseWriter response) {
 		Optional<ChangesQuery> query = ChangesCodec.decodeQuery(request.target());
 		if (query.isEmpty()) {
-			send(response, STATUS_BAD_REQUEST, "query is not valid".getBytes(StandardCharsets.UTF_8));
+			SiblingServer.refuse(response, STATUS_BAD_REQUEST, "query is not valid");
 			return;
 		}
 		ChangeSource source = this.sourcesByKind.get(query.get().kind());
@@ -50,15 +44,8 @@
 	}
 
 	private static void sendReply(ResponseWriter response, ChangesReply reply) {
-		send(response, ChangesCodec.statusCode(reply), ChangesCodec.encodeBody(reply));
-	}
-
-	private static void send(ResponseWriter response, int status, byte[] body) {
-		response
-			.setHead(new ResponseHead(status, Headers.of(List.of(new HeaderField("Content-Type", "application/json"))),
-					OptionalLong.of(body.length)));
-		response.write(body);
-		response.end();
+		SiblingServer.respond(response, ChangesCodec.statusCode(reply), "application/json",
+				ChangesCodec.encodeBody(reply));
 	}
 
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -1,7 +1,10 @@
 package org.mulberrycross.router.relay;
 
+import java.io.IOException;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -13,17 +16,24 @@
 import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.Test;
 
+import org.mulberrycross.Address;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.NotRunException;
 import org.mulberrycross.OutcomeUnknownException;
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
+import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
+import org.mulberrycross.sibling.DataCentreHub;
+import org.mulberrycross.sibling.http.ChangesCodec;
+import org.mulberrycross.sibling.http.ChangesHandler;
+import org.mulberrycross.sibling.http.HttpChangesClient;
+import org.mulberrycross.sibling.http.SiblingServer;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -153,8 +163,8 @@
 				Duration.ofMillis(200));
 		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(7, false, "a")));
 		try (KindWatcher watcher = new KindWatcher(new FakeStore(results), "servers", new RecordingListener(),
-				ChangeSharing.none("servers", new MetricRegistry(), MonotonicClock.system()), () -> shortAge,
-				KindWatcher.NO_RECOVERY_WAIT, MonotonicClock.system(), new SplittableRandom(1))) {
+				new StoreSharing(Optional.empty(), new MetricRegistry(), MonotonicClock.system()).share("servers"),
+				() -> shortAge, KindWatcher.NO_RECOVERY_WAIT, MonotonicClock.system(), new SplittableRandom(1))) {
 			watcher.start();
 			assertThat(poll(this.calls)).isEqualTo("list");
 			assertThat(poll(this.calls)).isEqualTo("watch 5 for 300");
@@ -237,6 +247,70 @@
 		}
 	}
 
+	/**
+	 * Pattern: the hub's process is killed between two answers. Fails if its follower
+	 * does not go on at the store with the change that it had heard last.
+	 */
+	@Test
+	void goesOnAtTheStoreWhenHubDies() throws Exception {
+		Address address = new Address("127.0.0.1", freePort());
+		ChangeFeed hubFeed = new ChangeFeed(MonotonicClock.system());
+		hubFeed.restart(5, ClockReading.now(MonotonicClock.system()));
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(9, false, "b")));
+		try (SiblingServer server = new SiblingServer(address); HttpClient client = new HttpClient(1)) {
+			server.register(ChangesCodec.PATH, new ChangesHandler(Map.of("servers", (query, onReply) -> {
+				Runnable withdrawal = hubFeed.request(query, onReply);
+				this.calls.add("ask hub after " + query.afterRevision());
+				return withdrawal;
+			})));
+			server.start();
+			Runnable killHub = server::close;
+			HubWatch hubWatch = new HubWatch("servers", new SingleHub(address), new HttpChangesClient(client),
+					MonotonicClock.system());
+			try (KindWatcher watcher = newWatcher(results, hubWatch)) {
+				watcher.start();
+				assertThat(poll(this.calls)).isEqualTo("list");
+				assertThat(poll(this.calls)).isEqualTo("ask hub after 5");
+				hubFeed.append(5, result(7, false, "a"), ClockReading.now(MonotonicClock.system()));
+				assertThat(poll(this.calls)).isEqualTo("ask hub after 7");
+				killHub.run();
+				assertThat(poll(this.calls)).isEqualTo("avoid hub");
+				assertThat(poll(this.calls)).startsWith("watch 7 for ");
+				assertThat(poll(this.notifications)).isEqualTo("listed");
+				assertThat(poll(this.notifications)).isEqualTo("changed 1");
+				assertThat(poll(this.notifications)).isEqualTo("changed 1");
+			}
+		}
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	/** Names one hub until it fails. */
+	private final class SingleHub implements DataCentreHub {
+
+		private Optional<Address> hub;
+
+		private SingleHub(Address hub) {
+			this.hub = Optional.of(hub);
+		}
+
+		@Override
+		public Optional<Address> address(long nowNanos) {
+			return this.hub;
+		}
+
+		@Override
+		public void recordFailure(Address failed, long nowNanos) {
+			this.hub = Optional.empty();
+			KindWatcherTest.this.calls.add("avoid hub");
+		}
+
+	}
+
 	/**
 	 * Returns queued watch results; a result with revision 0 stands for a failed call.
 	 */
