Leave large objects and short losses of a connection to each daemon

A configuration of a megabyte would fill the hub's link for seconds, since all siblings of a data centre receive it at the same time; each now reads it from the store. A hub that lost only its connection lets its followers wait, since it calls again at once and they ask the store in time by themselves.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
@@ -26,6 +26,13 @@
 	/** Maximum number of waiting queries; one for each daemon of a data centre. */
 	private static final int MAX_WAITING = 512;
 
+	/**
+	 * Maximum size of the objects in a reply. All siblings of a data centre receive it at
+	 * the same time over the link of this machine, which also carries responses to
+	 * clients; larger objects are read from the store by each of them.
+	 */
+	private static final long MAX_REPLY_BYTES = 16 << 10;
+
 	/**
 	 * Time since the last query after which nobody follows this daemon. Longer than a
 	 * call to the store with which a follower bridges a gap.
@@ -74,7 +81,7 @@
 		synchronized (this) {
 			this.storeAvailable = true;
 			this.nextConfirmationNanos = OptionalLong.empty();
-			if (followerCount() > 0) {
+			if (result.changes().isEmpty() || followerCount() > 0) {
 				this.log.append(afterRevision, result, asOf);
 			}
 			else {
@@ -148,10 +155,18 @@
 			return Optional.empty();
 		}
 		return Optional.of(this.log.changesAfter(query.afterRevision())
+			.filter((changes) -> byteCount(changes) <= MAX_REPLY_BYTES)
 			.map((changes) -> knownReply(query, changes))
 			.orElse(ChangesReply.of(ChangesReply.Status.NOT_COVERED)));
 	}
 
+	private static long byteCount(List<ObjectChange> changes) {
+		return changes.stream()
+			.flatMap((change) -> change.object().stream())
+			.mapToLong((object) -> object.value().length)
+			.sum();
+	}
+
 	// The age is rounded up, since the arithmetic of milliseconds rounds it down.
 	private ChangesReply knownReply(Waiting query, List<ObjectChange> changes) {
 		long ageMillis = this.log.confirmedAsOf().orElseThrow().ageMillis(query.arrivedAt()) + 1;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -274,7 +274,6 @@
 		if (isClosed()) {
 			return;
 		}
-		this.feed.markStoreUnavailable();
 		this.connectionLost = this.storeAvailable && cause instanceof OutcomeUnknownException
 				&& this.clock.nanos() - this.callStartedNanos >= MAX_REJECTION_TIME.toNanos();
 		if (this.storeAvailable) {
@@ -289,6 +288,7 @@
 		if (this.connectionLost) {
 			return;
 		}
+		this.feed.markStoreUnavailable();
 		pause(this.random.nextInt(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS));
 		this.recoveryWait.run();
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeFeedTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeFeedTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
@@ -109,6 +110,20 @@
 				Status.KNOWN);
 	}
 
+	/**
+	 * Pattern: a configuration of a megabyte changes. Fails if the hub sends it to all
+	 * siblings, which fills its link for seconds.
+	 */
+	@Test
+	void largeObjectsAreLeftToTheStore() {
+		this.feed.restart(10, now());
+		ask(10);
+		StoredObject large = new StoredObject("servers/a", 12, new byte[1 << 20]);
+		this.feed.append(10, new WatchResult(12, List.of(new ObjectChange("servers/a", 12, Optional.of(large))), false),
+				now());
+		assertThat(statuses()).containsExactly(Status.NOT_COVERED);
+	}
+
 	/** Fails if a withdrawn query is kept, or a daemon without followers calls often. */
 	@Test
 	void forgetsSiblingsThatLeft() {
