Read the settled list of daemons as of some seconds ago

The store charges a tenth for a list that may be some seconds old. Each daemon lists the others every 30 s; from the third list on, when the daemons that started together have registered, that is enough: the number of daemons changes within minutes, and a sibling that is gone is noticed by its silence. PlatformStoreTest passes.

--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectStore.java
@@ -33,6 +33,19 @@
 	 */
 	ObjectPage list(Set<String> kinds, String after, int limit) throws PeerException;
 
+	/**
+	 * Lists objects like {@link #list}, as they were at the call or some seconds before.
+	 * Stores that charge less for this override it.
+	 * @param kinds the kinds to list, not empty
+	 * @param after the key after which the page starts, empty for the first page
+	 * @param limit the maximum number of objects to return, at least 1
+	 * @return the page, whose revision must not be used for a watch
+	 * @throws PeerException if the call fails
+	 */
+	default ObjectPage listStale(Set<String> kinds, String after, int limit) throws PeerException {
+		return list(kinds, after, limit);
+	}
+
 	/**
 	 * Creates an object if none has its key.
 	 * @param key the key, {@code kind/name}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -159,7 +159,7 @@
 
 	private long list() throws PeerException {
 		ClockReading sentAt = startCall();
-		ObjectPage all = listAll(this.store, this.kind);
+		ObjectPage all = listAll(this.store::list, this.kind);
 		recordSuccess();
 		this.confirmedAsOf = sentAt;
 		this.confirmedBySibling = false;
@@ -170,13 +170,13 @@
 
 	// Lists the objects of all pages. Watching from the revision, which is that of the
 	// first page, also returns changes that are made while further pages are read.
-	static ObjectPage listAll(ObjectStore store, String kind) throws PeerException {
+	static ObjectPage listAll(PageReader reader, String kind) throws PeerException {
 		List<StoredObject> objects = new ArrayList<>();
-		ObjectPage page = store.list(Set.of(kind), "", PAGE_SIZE);
+		ObjectPage page = reader.read(Set.of(kind), "", PAGE_SIZE);
 		long revision = page.revision();
 		objects.addAll(page.objects());
 		while (page.more() && !page.objects().isEmpty()) {
-			page = store.list(Set.of(kind), page.objects().get(page.objects().size() - 1).name(), PAGE_SIZE);
+			page = reader.read(Set.of(kind), page.objects().get(page.objects().size() - 1).name(), PAGE_SIZE);
 			objects.addAll(page.objects());
 		}
 		return new ObjectPage(revision, objects, false);
@@ -338,4 +338,12 @@
 		this.thread.interrupt();
 	}
 
+	/** Reads one page of a list from the store. */
+	@FunctionalInterface
+	interface PageReader {
+
+		ObjectPage read(Set<String> kinds, String after, int limit) throws PeerException;
+
+	}
+
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
@@ -48,6 +48,12 @@
 
 	private final Listener listener;
 
+	/**
+	 * Whether the daemons that started together are listed. From then on, a list that is
+	 * some seconds old serves as well and costs less.
+	 */
+	private boolean settled;
+
 	private final CountDownLatch closed = new CountDownLatch(1);
 
 	private final Thread thread = new Thread(this::run, "router-census");
@@ -75,7 +81,8 @@
 				if (this.closed.await(period.toMillis(), TimeUnit.MILLISECONDS)) {
 					return;
 				}
-				period = (registered && !first) ? COUNT_PERIOD : STARTUP_PERIOD;
+				this.settled = registered && !first;
+				period = this.settled ? COUNT_PERIOD : STARTUP_PERIOD;
 				first = false;
 			}
 			while (true);
@@ -89,7 +96,9 @@
 	boolean listAndRegister(boolean registered) {
 		Optional<StoredObject> ownEntry;
 		try {
-			List<StoredObject> entries = KindWatcher.listAll(this.store, KIND).objects();
+			List<StoredObject> entries = KindWatcher
+				.listAll(this.settled ? this.store::listStale : this.store::list, KIND)
+				.objects();
 			this.listener.onListed(entries.size(),
 					entries.stream().flatMap((entry) -> decode(entry).stream()).toList());
 			ownEntry = entries.stream().filter((entry) -> entry.name().equals(this.name)).findAny();
