--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
@@ -11,10 +11,12 @@
 
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.ChangeSource;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
+import org.mulberrycross.sibling.SharedChange;
 
 /**
  * Passes on to siblings what this daemon reads from the store about one kind of objects.
@@ -171,7 +173,11 @@
 	private ChangesReply knownReply(Waiting query, List<ObjectChange> changes) {
 		long ageMillis = this.log.confirmedAsOf().orElseThrow().ageMillis(query.arrivedAt()) + 1;
 		return new ChangesReply(ChangesReply.Status.KNOWN, Math.max(this.log.revision(), query.afterRevision()),
-				ageMillis, changes);
+				ageMillis, changes.stream().map(ChangeFeed::toSharedChange).toList());
+	}
+
+	private static SharedChange toSharedChange(ObjectChange change) {
+		return new SharedChange(change.key(), change.version(), change.object().map(StoredObject::value));
 	}
 
 	// Between two watches, the next one begins after a short pause.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingChanges.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingChanges.java
@@ -1,11 +1,15 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
+import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.ChangesReply;
+import org.mulberrycross.sibling.SharedChange;
 
 /**
  * Changes that a sibling passed on, and the time up to which they are complete by the
@@ -33,8 +37,13 @@
 		if (reply.revision() < afterRevision || futureChange || futureConfirmation) {
 			return Optional.empty();
 		}
-		return Optional
-			.of(new SiblingChanges(new WatchResult(reply.revision(), reply.changes(), false), confirmedAsOf));
+		List<ObjectChange> changes = reply.changes().stream().map(SiblingChanges::toObjectChange).toList();
+		return Optional.of(new SiblingChanges(new WatchResult(reply.revision(), changes, false), confirmedAsOf));
+	}
+
+	private static ObjectChange toObjectChange(SharedChange change) {
+		return new ObjectChange(change.key(), change.version(),
+				change.value().map((value) -> new StoredObject(change.key(), change.version(), value)));
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesReply.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesReply.java
@@ -3,8 +3,6 @@
 import java.util.List;
 import java.util.Objects;
 
-import org.mulberrycross.platform.ObjectChange;
-
 /**
  * Reply of a sibling to a {@link ChangesQuery}. Immutable and thread-safe.
  *
@@ -14,7 +12,7 @@
  * to the arrival of the query, rounded up; negative if they were confirmed later
  * @param changes the changes in order, empty if nothing changed, not null
  */
-public record ChangesReply(Status status, long revision, long ageMillis, List<ObjectChange> changes) {
+public record ChangesReply(Status status, long revision, long ageMillis, List<SharedChange> changes) {
 
 	/**
 	 * Creates a reply.
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesCodec.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesCodec.java
@@ -15,10 +15,9 @@
 import org.mulberrycross.Step;
 import org.mulberrycross.http.HttpReply;
 import org.mulberrycross.http.Json;
-import org.mulberrycross.platform.ObjectChange;
-import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
+import org.mulberrycross.sibling.SharedChange;
 
 /**
  * Encodes queries for changes as request targets and the replies as JSON. The values of
@@ -78,11 +77,8 @@
 	}
 
 	static byte[] encodeBody(ChangesReply reply) {
-		List<Change> changes = reply.changes()
-			.stream()
-			.map((change) -> new Change(change.key(), change.version(), change.object().map(StoredObject::value)))
-			.toList();
-		return Json.encode(new Body(OptionalLong.of(reply.revision()), OptionalLong.of(reply.ageMillis()), changes));
+		return Json
+			.encode(new Body(OptionalLong.of(reply.revision()), OptionalLong.of(reply.ageMillis()), reply.changes()));
 	}
 
 	static ChangesReply decode(HttpReply reply, Peer peer) throws PeerException {
@@ -100,18 +96,10 @@
 				|| body.changes() == null) {
 			throw invalid(peer, "no revision, age or changes");
 		}
-		for (Change change : body.changes()) {
-			if (change == null || change.key() == null || change.key().indexOf('/') < 1) {
-				throw invalid(peer, "a change without a key");
-			}
+		if (body.changes().stream().anyMatch((change) -> change == null || change.key().indexOf('/') < 1)) {
+			throw invalid(peer, "a change without a key");
 		}
-		return new ChangesReply(status, body.revision().getAsLong(), body.ageMs().getAsLong(),
-				body.changes().stream().map(ChangesCodec::toObjectChange).toList());
-	}
-
-	private static ObjectChange toObjectChange(Change change) {
-		return new ObjectChange(change.key(), change.version(),
-				change.value().map((value) -> new StoredObject(change.key(), change.version(), value)));
+		return new ChangesReply(status, body.revision().getAsLong(), body.ageMs().getAsLong(), body.changes());
 	}
 
 	private static PeerException invalid(Peer peer, String reason) {
@@ -119,16 +107,7 @@
 	}
 
 	/** The body of a reply. */
-	private record Body(OptionalLong revision, OptionalLong ageMs, List<Change> changes) {
-
-	}
-
-	/** A change; one without a value is a deletion. */
-	private record Change(String key, long version, Optional<byte[]> value) {
-
-		private Change {
-			value = (value != null) ? value : Optional.empty();
-		}
+	private record Body(OptionalLong revision, OptionalLong ageMs, List<SharedChange> changes) {
 
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/SiblingChangesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/SiblingChangesTest.java
@@ -7,8 +7,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.sibling.ChangesReply;
+import org.mulberrycross.sibling.SharedChange;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -24,7 +24,7 @@
 		return new ClockReading(millis * 1_000_000, millis);
 	}
 
-	private static Optional<SiblingChanges> evaluate(long revision, long ageMillis, ObjectChange... changes) {
+	private static Optional<SiblingChanges> evaluate(long revision, long ageMillis, SharedChange... changes) {
 		return SiblingChanges.of(new ChangesReply(ChangesReply.Status.KNOWN, revision, ageMillis, List.of(changes)),
 				AFTER, at(5000), at(6000));
 	}
@@ -57,7 +57,7 @@
 	@Test
 	void contradictionsAreRejected() {
 		assertThat(evaluate(AFTER - 1, 0)).isEmpty();
-		assertThat(evaluate(AFTER + 1, 0, new ObjectChange("servers/a", AFTER + 2, Optional.empty()))).isEmpty();
+		assertThat(evaluate(AFTER + 1, 0, new SharedChange("servers/a", AFTER + 2, Optional.empty()))).isEmpty();
 		assertThat(evaluate(AFTER, -1001)).isEmpty();
 		assertThat(evaluate(AFTER, -1000)).isPresent();
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/sibling/http/ChangesCodecTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/http/ChangesCodecTest.java
@@ -13,11 +13,10 @@
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.http.HttpReply;
-import org.mulberrycross.platform.ObjectChange;
-import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
 import org.mulberrycross.sibling.ChangesReply.Status;
+import org.mulberrycross.sibling.SharedChange;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -34,13 +33,13 @@
 	void passesOnAnyBytes() throws PeerException {
 		byte[] value = { '{', (byte) 0xff, 0 };
 		ChangesReply reply = new ChangesReply(Status.KNOWN, 9, -3,
-				List.of(new ObjectChange("servers/a", 8, Optional.of(new StoredObject("servers/a", 8, value))),
-						new ObjectChange("servers/b", 9, Optional.empty())));
+				List.of(new SharedChange("servers/a", 8, Optional.of(value)),
+						new SharedChange("servers/b", 9, Optional.empty())));
 		ChangesReply decoded = ChangesCodec
 			.decode(new HttpReply(ChangesCodec.statusCode(reply), Map.of(), ChangesCodec.encodeBody(reply)), PEER);
 		assertThat(decoded.revision()).isEqualTo(9);
 		assertThat(decoded.ageMillis()).isEqualTo(-3);
-		assertThat(decoded.changes().get(0).object().orElseThrow().value()).isEqualTo(value);
+		assertThat(decoded.changes().get(0).value().orElseThrow()).isEqualTo(value);
 		assertThat(decoded.changes().get(1)).isEqualTo(reply.changes().get(1));
 	}
 
