Cut the pause of a hub to what its followers wait

With a limit of 2 s and 20 daemons or more that call the store, the pause of 500 ms leaves, by arithmetic, 12 ms until followers of a sound hub asked the store.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchTiming.java
@@ -75,6 +75,12 @@
 	 */
 	private static final double CONFIRMATION_FRACTION = 0.42;
 
+	/**
+	 * Time for the shortest watch, which confirms a change after the pause, and for the
+	 * reply to siblings.
+	 */
+	private static final Duration RECONFIRMATION_TIME = Duration.ofMillis(500);
+
 	WatchTiming {
 		Objects.requireNonNull(watchTimeout, "watchTimeout");
 		Objects.requireNonNull(maxConfirmationAge, "maxConfirmationAge");
@@ -115,7 +121,9 @@
 	// them before they ask the store.
 	WatchTiming forFollowedDaemon() {
 		Duration timeout = min(fraction(this.maxSiblingAge, CONFIRMATION_FRACTION), this.watchTimeout);
-		return new WatchTiming(timeout, timeout, this.batchDelay, this.maxSiblingAge);
+		Duration longestPause = this.maxSiblingAge.minus(timeout).minus(RECONFIRMATION_TIME);
+		Duration pause = longestPause.isNegative() ? Duration.ZERO : min(this.batchDelay, longestPause);
+		return new WatchTiming(timeout, timeout, pause, this.maxSiblingAge);
 	}
 
 	private static Duration fraction(Duration limit, double fraction) {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/WatchTimingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/WatchTimingTest.java
@@ -72,7 +72,8 @@
 	 * the hub is sound, or if they ask so late that a change is applied after its limit.
 	 */
 	@ParameterizedTest
-	@CsvSource({ "2000, 3000, 30, 10", "2000, 3000, 30, 2", "3000, 4000, 61, 4", "4000, 5000, 330, 20" })
+	@CsvSource({ "2000, 3000, 30, 10", "2000, 3000, 30, 2", "2000, 3000, 100, 50", "3000, 4000, 61, 4",
+			"4000, 5000, 330, 20" })
 	void hubConfirmsBeforeFollowersAskTheStore(long limitMillis, long contactMillis, int daemonCount, int callerCount) {
 		PropagationLimits limits = limits(limitMillis, limitMillis, contactMillis);
 		List<Function<Integer, WatchTiming>> timings = List.of((count) -> WatchTiming.ofUpstreams(limits, count),
