--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
@@ -97,7 +97,7 @@
 		Optional<StoredObject> ownEntry;
 		try {
 			List<StoredObject> entries = KindWatcher
-				.listAll(this.settled ? this.store::listStale : this.store::list, KIND)
+				.listAll((this.settled && this.self.isPresent()) ? this.store::listStale : this.store::list, KIND)
 				.objects();
 			this.listener.onListed(entries.size(),
 					entries.stream().flatMap((entry) -> decode(entry).stream()).toList());
