--- a/mulberrycross/src/main/java/org/mulberrycross/router/SettingsFile.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/SettingsFile.java
@@ -207,6 +207,18 @@
 		return value.booleanValue();
 	}
 
+	/**
+	 * Requires another key if a flag is set.
+	 * @param flag the dotted key of the flag
+	 * @param required the dotted key without which the flag has no effect
+	 */
+	public void requireIfSet(String flag, String required) {
+		JsonNode value = node(required);
+		if (node(flag).booleanValue() && value.isMissingNode()) {
+			addError(required, value, "any valid value, since " + flag + " is set");
+		}
+	}
+
 	/**
 	 * Reads an optional number that may have a fraction.
 	 * @param key the dotted key
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
@@ -73,6 +73,7 @@
 		SiblingSettings siblings = new SiblingSettings(file.optionalAddress("listen.siblings"),
 				file.integer("siblings.min_daemons", SiblingSettings.DEFAULT_MIN_DAEMONS, 2, MAX_MIN_DAEMONS),
 				file.flag("siblings.share_load", false), file.flag("siblings.share_changes", false));
+		file.requireIfSet("siblings.share_changes", "listen.siblings");
 		file.throwIfInvalid();
 		return new RelaySettings(name.orElseThrow(), dataCentre.orElseThrow(), callerAddress.orElseThrow(),
 				readinessAddress.orElseThrow(), platformAddress.orElseThrow(), revocationLimit, propagationLimits,
