Bound the log of a hub's followers and keep replies apart

A hub that comes and goes wrote two lines a step for each kind; now at most one in 2 s. A reply that cannot be written no longer keeps the others from theirs. ChangeFeedTest steps the clock through the age in a reply.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
@@ -9,6 +9,9 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.StoredObject;
@@ -25,6 +28,8 @@
  */
 final class ChangeFeed implements ChangeSource {
 
+	private static final Logger logger = LoggerFactory.getLogger(ChangeFeed.class);
+
 	/** Maximum number of waiting queries; one for each daemon of a data centre. */
 	private static final int MAX_WAITING = 512;
 
@@ -231,7 +236,13 @@
 	private record Answer(Waiting query, ChangesReply reply) {
 
 		void send() {
-			this.query.onReply.accept(this.reply);
+			try {
+				this.query.onReply.accept(this.reply);
+			}
+			catch (RuntimeException ex) {
+				// The sibling asks the store in time; the others still get their replies.
+				logger.atWarn().setCause(ex).log("reply to a sibling failed");
+			}
 		}
 
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,6 +30,9 @@
 	/** Minimum time for which a query is worth while. */
 	private static final Duration MIN_WAIT = Duration.ofMillis(50);
 
+	/** Minimum time between two log lines about the source of a kind. */
+	private static final Duration LOG_PERIOD = Duration.ofSeconds(2);
+
 	private final String kind;
 
 	private final DataCentreHub hub;
@@ -40,6 +44,8 @@
 	/** The last source in the log, empty for the store. */
 	private Optional<Address> source = Optional.empty();
 
+	private OptionalLong loggedNanos = OptionalLong.empty();
+
 	HubWatch(String kind, DataCentreHub hub, ChangesClient client, MonotonicClock clock) {
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.hub = Objects.requireNonNull(hub, "hub");
@@ -96,8 +102,12 @@
 	}
 
 	private void logSource(Optional<Address> current, String reason) {
-		if (!current.equals(this.source)) {
+		long nowNanos = this.clock.nanos();
+		boolean loggedLately = this.loggedNanos.isPresent()
+				&& nowNanos - this.loggedNanos.getAsLong() < LOG_PERIOD.toNanos();
+		if (!current.equals(this.source) && !loggedLately) {
 			this.source = current;
+			this.loggedNanos = OptionalLong.of(nowNanos);
 			logger.atInfo()
 				.addKeyValue("kind", this.kind)
 				.addKeyValue("source", current.map(Address::toString).orElse("store"))
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeFeedTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeFeedTest.java
@@ -124,6 +124,26 @@
 		assertThat(statuses()).containsExactly(Status.NOT_COVERED);
 	}
 
+	/**
+	 * The store confirms 200 ms after a query arrived, and 300 ms before the next one.
+	 * Fails if the age does not count from the arrival, or is rounded down.
+	 */
+	@Test
+	void ageCountsFromArrivalOfQuery() {
+		this.feed.restart(10, now());
+		this.nowNanos = Duration.ofMillis(300).toNanos();
+		ask(10);
+		this.feed.append(10, CHANGE, steadyTime(500));
+		this.nowNanos = Duration.ofMillis(800).toNanos();
+		ask(11);
+		assertThat(this.replies.stream().map(ChangesReply::ageMillis)).containsExactly(-199L, 301L).inOrder();
+	}
+
+	// Returns a reading whose age is that by the steady clock.
+	private static ClockReading steadyTime(long millis) {
+		return new ClockReading(Duration.ofMillis(millis).toNanos(), Long.MAX_VALUE / 2);
+	}
+
 	/** Fails if a withdrawn query is kept, or a daemon without followers calls often. */
 	@Test
 	void forgetsSiblingsThatLeft() {
