Check who asks for changes and what is replied

Replies carry the configuration with its keys: a hub now refuses senders that are not listed. KindWatcherTest follows the time of the last confirmation, and no longer depends on 2 s of a real clock when the hub dies.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/StoreSharing.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/StoreSharing.java
@@ -40,15 +40,16 @@
 		this.feeds.put(kind, feed);
 		SiblingWatch siblingWatch = this.network
 			.<SiblingWatch>map((connected) -> new HubWatch(kind, connected.directory(),
-					new HttpChangesClient(connected.client()), this.clock))
+					new HttpChangesClient(connected.client(), connected.self().name()), this.clock))
 			.orElse(SiblingWatch.NONE);
 		return new ChangeSharing(siblingWatch, feed, new WatchMetrics(this.registry, kind));
 	}
 
 	// Serves the kinds shared so far to siblings.
 	void serve() {
-		this.network
-			.ifPresent((connected) -> connected.server().register(ChangesCodec.PATH, new ChangesHandler(this.feeds)));
+		this.network.ifPresent((connected) -> connected.server()
+			.register(ChangesCodec.PATH,
+					new ChangesHandler(this.feeds, (name) -> connected.directory().find(name).isPresent())));
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesReply.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesReply.java
@@ -41,6 +41,9 @@
 		/** The changes are known and confirmed by the store itself. */
 		KNOWN,
 
+		/** The sibling does not know this daemon, which may have started just now. */
+		NOT_LISTED,
+
 		/** The sibling does not follow the store for this kind. */
 		NOT_FOLLOWED,
 
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesCodec.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesCodec.java
@@ -29,11 +29,17 @@
 	/** Path of the queries. */
 	public static final String PATH = "/v1/changes";
 
+	/** Maximum size of a reply; objects are several times smaller. */
+	static final int MAX_REPLY_BYTES = 256 << 10;
+
+	/** Maximum age, before or after the arrival of a query, that is believed. */
+	private static final long MAX_AGE_MILLIS = Duration.ofDays(1).toMillis();
+
 	private static final int STATUS_OK = 200;
 
 	private static final Map<ChangesReply.Status, Integer> STATUS_CODES = Map.of(ChangesReply.Status.KNOWN, STATUS_OK,
-			ChangesReply.Status.NOT_FOLLOWED, 404, ChangesReply.Status.NOT_COVERED, 410, ChangesReply.Status.BUSY, 429,
-			ChangesReply.Status.STORE_UNAVAILABLE, 503);
+			ChangesReply.Status.NOT_LISTED, 403, ChangesReply.Status.NOT_FOLLOWED, 404, ChangesReply.Status.NOT_COVERED,
+			410, ChangesReply.Status.BUSY, 429, ChangesReply.Status.STORE_UNAVAILABLE, 503);
 
 	private ChangesCodec() {
 	}
@@ -41,11 +47,13 @@
 	/**
 	 * Encodes a query.
 	 * @param query the query, not null
+	 * @param sender the name of the daemon that sends it, not null
 	 * @return the request target
 	 */
-	public static String encodeQuery(ChangesQuery query) {
+	public static String encodeQuery(ChangesQuery query, String sender) {
 		return PATH + "?kind=" + URLEncoder.encode(query.kind(), StandardCharsets.UTF_8) + "&after="
-				+ query.afterRevision() + "&wait_ms=" + query.maxWait().toMillis();
+				+ query.afterRevision() + "&wait_ms=" + query.maxWait().toMillis() + "&from="
+				+ URLEncoder.encode(sender, StandardCharsets.UTF_8);
 	}
 
 	/**
@@ -54,13 +62,7 @@
 	 * @return the query, or empty if it is not valid
 	 */
 	public static Optional<ChangesQuery> decodeQuery(String target) {
-		Map<String, String> parameters = new HashMap<>();
-		for (String parameter : target.substring(target.indexOf('?') + 1).split("&")) {
-			int separator = parameter.indexOf('=');
-			if (separator > 0) {
-				parameters.put(parameter.substring(0, separator), parameter.substring(separator + 1));
-			}
-		}
+		Map<String, String> parameters = parameters(target);
 		try {
 			String kind = URLDecoder.decode(parameters.getOrDefault("kind", ""), StandardCharsets.UTF_8);
 			long after = Long.parseLong(parameters.getOrDefault("after", ""));
@@ -72,6 +74,32 @@
 		}
 	}
 
+	/**
+	 * Decodes the name of the daemon that sent a query.
+	 * @param target the request target, not null
+	 * @return the name, or empty if it is missing
+	 */
+	public static Optional<String> decodeSender(String target) {
+		try {
+			return Optional.ofNullable(parameters(target).get("from"))
+				.map((name) -> URLDecoder.decode(name, StandardCharsets.UTF_8));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static Map<String, String> parameters(String target) {
+		Map<String, String> parameters = new HashMap<>();
+		for (String parameter : target.substring(target.indexOf('?') + 1).split("&")) {
+			int separator = parameter.indexOf('=');
+			if (separator > 0) {
+				parameters.put(parameter.substring(0, separator), parameter.substring(separator + 1));
+			}
+		}
+		return parameters;
+	}
+
 	static int statusCode(ChangesReply reply) {
 		return STATUS_CODES.get(reply.status());
 	}
@@ -81,7 +109,7 @@
 			.encode(new Body(OptionalLong.of(reply.revision()), OptionalLong.of(reply.ageMillis()), reply.changes()));
 	}
 
-	static ChangesReply decode(HttpReply reply, Peer peer) throws PeerException {
+	static ChangesReply decode(HttpReply reply, String kind, Peer peer) throws PeerException {
 		ChangesReply.Status status = STATUS_CODES.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue() == reply.status())
@@ -96,8 +124,11 @@
 				|| body.changes() == null) {
 			throw invalid(peer, "no revision, age or changes");
 		}
-		if (body.changes().stream().anyMatch((change) -> change == null || change.key().indexOf('/') < 1)) {
-			throw invalid(peer, "a change without a key");
+		if (Math.abs(body.ageMs().getAsLong() / 2) > MAX_AGE_MILLIS / 2) {
+			throw invalid(peer, "an age of " + body.ageMs().getAsLong() + " ms");
+		}
+		if (body.changes().stream().anyMatch((change) -> change == null || !change.key().startsWith(kind + "/"))) {
+			throw invalid(peer, "a change without a key of kind " + kind);
 		}
 		return new ChangesReply(status, body.revision().getAsLong(), body.ageMs().getAsLong(), body.changes());
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -50,7 +52,7 @@
 	private static final String UNUSABLE = "unusable";
 
 	private static final WatchTiming TIMING = new WatchTiming(Duration.ofMillis(4000), Duration.ofDays(1),
-			Duration.ofMillis(1), Duration.ofMillis(2000));
+			Duration.ofMillis(1), Duration.ofMinutes(10));
 
 	/** Stands for a call that loses its connection after a while. */
 	private static final WatchResult LOST_CONNECTION = new WatchResult(-1, List.of(), false);
@@ -59,6 +61,8 @@
 
 	private final BlockingQueue<String> notifications = new LinkedBlockingQueue<>();
 
+	private final BlockingQueue<ClockReading> confirmations = new LinkedBlockingQueue<>();
+
 	private final ChangeFeed feed = new ChangeFeed(MonotonicClock.system());
 
 	private KindWatcher newWatcher(BlockingQueue<WatchResult> results) {
@@ -227,6 +231,24 @@
 		}
 	}
 
+	/**
+	 * Pattern: a hub knows less than this daemon, then more. Fails if the confirmation of
+	 * the keys goes back, or does not move on with the hub.
+	 */
+	@Test
+	void keepsLatestConfirmation() throws Exception {
+		Deque<Integer> offsets = new ArrayDeque<>(List.of(-1000, 50));
+		SiblingWatch siblings = (revision, confirmedAsOf, trust) -> Optional.ofNullable(offsets.poll())
+			.map((offset) -> new SiblingChanges(result(7, false, "a"), confirmedAsOf.plus(Duration.ofMillis(offset))));
+		try (KindWatcher watcher = newWatcher(new LinkedBlockingQueue<>(), siblings)) {
+			watcher.start();
+			ClockReading listed = this.confirmations.poll(POLL_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			assertThat(this.confirmations.poll(POLL_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(listed);
+			assertThat(this.confirmations.poll(POLL_TIMEOUT_SECONDS, TimeUnit.SECONDS))
+				.isEqualTo(listed.plus(Duration.ofMillis(50)));
+		}
+	}
+
 	/**
 	 * Pattern: the store is down. Fails if a sibling is asked before the store has
 	 * answered again: entries that lapsed meanwhile would be removed at once.
@@ -262,10 +284,10 @@
 				Runnable withdrawal = hubFeed.request(query, onReply);
 				this.calls.add("ask hub after " + query.afterRevision());
 				return withdrawal;
-			})));
+			}), "b"::equals));
 			server.start();
 			Runnable killHub = server::close;
-			HubWatch hubWatch = new HubWatch("servers", new SingleHub(address), new HttpChangesClient(client),
+			HubWatch hubWatch = new HubWatch("servers", new SingleHub(address), new HttpChangesClient(client, "b"),
 					MonotonicClock.system());
 			try (KindWatcher watcher = newWatcher(results, hubWatch)) {
 				watcher.start();
@@ -374,6 +396,7 @@
 
 		@Override
 		public void onListed(List<StoredObject> objects, ClockReading asOf) {
+			KindWatcherTest.this.confirmations.add(asOf);
 			KindWatcherTest.this.notifications.add("listed");
 		}
 
@@ -382,6 +405,7 @@
 			if (changes.stream().anyMatch((change) -> change.key().endsWith(UNUSABLE))) {
 				throw new IllegalArgumentException("unusable");
 			}
+			KindWatcherTest.this.confirmations.add(asOf);
 			KindWatcherTest.this.notifications.add("changed " + changes.size());
 		}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/sibling/http/ChangesCodecTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/http/ChangesCodecTest.java
@@ -35,21 +35,24 @@
 		ChangesReply reply = new ChangesReply(Status.KNOWN, 9, -3,
 				List.of(new SharedChange("servers/a", 8, Optional.of(value)),
 						new SharedChange("servers/b", 9, Optional.empty())));
-		ChangesReply decoded = ChangesCodec
-			.decode(new HttpReply(ChangesCodec.statusCode(reply), Map.of(), ChangesCodec.encodeBody(reply)), PEER);
+		ChangesReply decoded = ChangesCodec.decode(
+				new HttpReply(ChangesCodec.statusCode(reply), Map.of(), ChangesCodec.encodeBody(reply)), "servers",
+				PEER);
 		assertThat(decoded.revision()).isEqualTo(9);
 		assertThat(decoded.ageMillis()).isEqualTo(-3);
 		assertThat(decoded.changes().get(0).value().orElseThrow()).isEqualTo(value);
 		assertThat(decoded.changes().get(1)).isEqualTo(reply.changes().get(1));
 	}
 
-	/** Fails if a reply without an age counts as confirmed just now. */
+	/** Fails if a reply without a sound age, or about other objects, is believed. */
 	@ParameterizedTest
 	@ValueSource(strings = { "{\"revision\":9,\"changes\":[]}", "{\"age_ms\":0,\"changes\":[]}",
-			"{\"revision\":9,\"age_ms\":0}", "{\"revision\":9,\"age_ms\":0,\"changes\":[null]}", "[]", "x" })
+			"{\"revision\":9,\"age_ms\":0}", "{\"revision\":9,\"age_ms\":-9223372036854775808,\"changes\":[]}",
+			"{\"revision\":9,\"age_ms\":0,\"changes\":[{\"key\":\"config/main\",\"version\":9}]}",
+			"{\"revision\":9,\"age_ms\":0,\"changes\":[null]}", "[]", "x" })
 	void rejectsIncompleteReply(String body) {
 		HttpReply reply = new HttpReply(200, Map.of(), body.getBytes(StandardCharsets.UTF_8));
-		assertThrows(PeerException.class, () -> ChangesCodec.decode(reply, PEER));
+		assertThrows(PeerException.class, () -> ChangesCodec.decode(reply, "servers", PEER));
 	}
 
 	/** Fails if a refusal loses its reason, or an odd query ends the handler. */
@@ -58,11 +61,15 @@
 		for (Status status : Status.values()) {
 			ChangesReply reply = ChangesReply.of(status);
 			assertThat(ChangesCodec
-				.decode(new HttpReply(ChangesCodec.statusCode(reply), Map.of(), ChangesCodec.encodeBody(reply)), PEER)
+				.decode(new HttpReply(ChangesCodec.statusCode(reply), Map.of(), ChangesCodec.encodeBody(reply)),
+						"servers", PEER)
 				.status()).isEqualTo(status);
 		}
 		ChangesQuery query = new ChangesQuery("a b&c", 7, Duration.ofMillis(900));
-		assertThat(ChangesCodec.decodeQuery(ChangesCodec.encodeQuery(query))).hasValue(query);
+		String target = ChangesCodec.encodeQuery(query, "d&1");
+		assertThat(ChangesCodec.decodeQuery(target)).hasValue(query);
+		assertThat(ChangesCodec.decodeSender(target)).hasValue("d&1");
+		assertThat(ChangesCodec.decodeSender("/v1/changes?from=%")).isEmpty();
 		assertThat(ChangesCodec.decodeQuery("/v1/changes?kind=%&after=1&wait_ms=1")).isEmpty();
 		assertThat(ChangesCodec.decodeQuery("/v1/changes")).isEmpty();
 	}
