--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -1,7 +1,12 @@
 package org.mulberrycross.router.relay;
 
+import java.io.IOException;
+import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -10,19 +15,27 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.Test;
 
+import org.mulberrycross.Address;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.NotRunException;
 import org.mulberrycross.OutcomeUnknownException;
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
+import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
+import org.mulberrycross.sibling.DataCentreHub;
+import org.mulberrycross.sibling.http.ChangesCodec;
+import org.mulberrycross.sibling.http.ChangesHandler;
+import org.mulberrycross.sibling.http.HttpChangesClient;
+import org.mulberrycross.sibling.http.SiblingServer;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -39,7 +52,7 @@
 	private static final String UNUSABLE = "unusable";
 
 	private static final WatchTiming TIMING = new WatchTiming(Duration.ofMillis(4000), Duration.ofDays(1),
-			Duration.ofMillis(1));
+			Duration.ofMillis(1), Duration.ofMinutes(10));
 
 	/** Stands for a call that loses its connection after a while. */
 	private static final WatchResult LOST_CONNECTION = new WatchResult(-1, List.of(), false);
@@ -48,11 +61,31 @@
 
 	private final BlockingQueue<String> notifications = new LinkedBlockingQueue<>();
 
+	private final BlockingQueue<ClockReading> confirmations = new LinkedBlockingQueue<>();
+
+	private final ChangeFeed feed = new ChangeFeed(MonotonicClock.system());
+
 	private KindWatcher newWatcher(BlockingQueue<WatchResult> results) {
-		return new KindWatcher(new FakeStore(results), "servers", new RecordingListener(), () -> TIMING,
+		return newWatcher(results, SiblingWatch.NONE);
+	}
+
+	private KindWatcher newWatcher(BlockingQueue<WatchResult> results, SiblingWatch siblings) {
+		return new KindWatcher(new FakeStore(results), "servers", new RecordingListener(),
+				new ChangeSharing(siblings, this.feed, new WatchMetrics(new MetricRegistry(), "servers")), () -> TIMING,
 				() -> this.calls.add("wait for recovery"), MonotonicClock.system(), new SplittableRandom(1));
 	}
 
+	// Records the query and returns the next reply; one with revision 0 stands for none.
+	private SiblingWatch siblings(BlockingQueue<WatchResult> replies) {
+		return (revision, confirmedAsOf, trust) -> {
+			this.calls.add("ask sibling after " + revision);
+			WatchResult reply = replies.poll();
+			return Optional.ofNullable(reply)
+				.filter((known) -> known.revision() > 0)
+				.map((known) -> new SiblingChanges(known, confirmedAsOf));
+		};
+	}
+
 	private static WatchResult result(long revision, boolean compacted, String... names) {
 		List<ObjectChange> changes = List.of(names)
 			.stream()
@@ -130,9 +163,11 @@
 	 */
 	@Test
 	void confirmsChangesWithinMaxAge() throws Exception {
-		WatchTiming shortAge = new WatchTiming(Duration.ofMillis(4000), Duration.ofMillis(300), Duration.ofMillis(1));
+		WatchTiming shortAge = new WatchTiming(Duration.ofMillis(4000), Duration.ofMillis(300), Duration.ofMillis(1),
+				Duration.ofMillis(200));
 		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(7, false, "a")));
 		try (KindWatcher watcher = new KindWatcher(new FakeStore(results), "servers", new RecordingListener(),
+				new StoreSharing(Optional.empty(), new MetricRegistry(), MonotonicClock.system()).share("servers"),
 				() -> shortAge, KindWatcher.NO_RECOVERY_WAIT, MonotonicClock.system(), new SplittableRandom(1))) {
 			watcher.start();
 			assertThat(poll(this.calls)).isEqualTo("list");
@@ -170,6 +205,134 @@
 		}
 	}
 
+	/**
+	 * Pattern: a daemon follows a sibling that then falls silent. Fails if it lists all
+	 * objects again in place of one watch at the revision that it knows, if it takes the
+	 * loss of the sibling for an outage of the store, or if it does not return to it.
+	 */
+	@Test
+	void continuesAtTheStoreAndReturnsToSibling() throws Exception {
+		BlockingQueue<WatchResult> replies = new LinkedBlockingQueue<>(
+				List.of(result(7, false, "a"), result(0, false), result(11, false, "c")));
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(9, false, "b")));
+		try (KindWatcher watcher = newWatcher(results, siblings(replies))) {
+			watcher.start();
+			assertThat(poll(this.calls)).isEqualTo("list");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 5");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 7");
+			assertThat(poll(this.calls)).startsWith("watch 7 for ");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 9");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 11");
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			for (int i = 0; i < 3; i++) {
+				assertThat(poll(this.notifications)).isEqualTo("changed 1");
+			}
+			assertThat(this.notifications).isEmpty();
+		}
+	}
+
+	/**
+	 * Pattern: a hub knows less than this daemon, then more. Fails if the confirmation of
+	 * the keys goes back, or does not move on with the hub.
+	 */
+	@Test
+	void keepsLatestConfirmation() throws Exception {
+		Deque<Integer> offsets = new ArrayDeque<>(List.of(-1000, 50));
+		SiblingWatch siblings = (revision, confirmedAsOf, trust) -> Optional.ofNullable(offsets.poll())
+			.map((offset) -> new SiblingChanges(result(7, false, "a"), confirmedAsOf.plus(Duration.ofMillis(offset))));
+		try (KindWatcher watcher = newWatcher(new LinkedBlockingQueue<>(), siblings)) {
+			watcher.start();
+			ClockReading listed = this.confirmations.poll(POLL_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			assertThat(this.confirmations.poll(POLL_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(listed);
+			assertThat(this.confirmations.poll(POLL_TIMEOUT_SECONDS, TimeUnit.SECONDS))
+				.isEqualTo(listed.plus(Duration.ofMillis(50)));
+		}
+	}
+
+	/**
+	 * Pattern: the store is down. Fails if a sibling is asked before the store has
+	 * answered again: entries that lapsed meanwhile would be removed at once.
+	 */
+	@Test
+	void asksNoSiblingWhileStoreIsUnavailable() throws Exception {
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(
+				List.of(result(0, false), result(7, false, "a")));
+		BlockingQueue<WatchResult> replies = new LinkedBlockingQueue<>();
+		try (KindWatcher watcher = newWatcher(results, siblings(replies))) {
+			watcher.start();
+			assertThat(poll(this.calls)).isEqualTo("list");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 5");
+			assertThat(poll(this.calls)).startsWith("watch 5 for ");
+			assertThat(poll(this.calls)).isEqualTo("wait for recovery");
+			assertThat(poll(this.calls)).isEqualTo("watch 5 for 100");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 7");
+		}
+	}
+
+	/**
+	 * Pattern: the hub's process is killed between two answers. Fails if its follower
+	 * does not go on at the store with the change that it had heard last.
+	 */
+	@Test
+	void goesOnAtTheStoreWhenHubDies() throws Exception {
+		Address address = new Address("127.0.0.1", freePort());
+		ChangeFeed hubFeed = new ChangeFeed(MonotonicClock.system());
+		hubFeed.restart(5, ClockReading.now(MonotonicClock.system()));
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(9, false, "b")));
+		try (SiblingServer server = new SiblingServer(address); HttpClient client = new HttpClient(1)) {
+			server.register(ChangesCodec.PATH, new ChangesHandler(Map.of("servers", (query, onReply) -> {
+				Runnable withdrawal = hubFeed.request(query, onReply);
+				this.calls.add("ask hub after " + query.afterRevision());
+				return withdrawal;
+			}), "b"::equals));
+			server.start();
+			Runnable killHub = server::close;
+			HubWatch hubWatch = new HubWatch("servers", new SingleHub(address), new HttpChangesClient(client, "b"),
+					MonotonicClock.system());
+			try (KindWatcher watcher = newWatcher(results, hubWatch)) {
+				watcher.start();
+				assertThat(poll(this.calls)).isEqualTo("list");
+				assertThat(poll(this.calls)).isEqualTo("ask hub after 5");
+				hubFeed.append(5, result(7, false, "a"), ClockReading.now(MonotonicClock.system()));
+				assertThat(poll(this.calls)).isEqualTo("ask hub after 7");
+				killHub.run();
+				assertThat(poll(this.calls)).isEqualTo("avoid hub");
+				assertThat(poll(this.calls)).startsWith("watch 7 for ");
+				assertThat(poll(this.notifications)).isEqualTo("listed");
+				assertThat(poll(this.notifications)).isEqualTo("changed 1");
+				assertThat(poll(this.notifications)).isEqualTo("changed 1");
+			}
+		}
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	/** Names one hub until it fails. */
+	private final class SingleHub implements DataCentreHub {
+
+		private Optional<Address> hub;
+
+		private SingleHub(Address hub) {
+			this.hub = Optional.of(hub);
+		}
+
+		@Override
+		public Optional<Address> address(long nowNanos) {
+			return this.hub;
+		}
+
+		@Override
+		public void recordFailure(Address failed, long nowNanos) {
+			this.hub = Optional.empty();
+			KindWatcherTest.this.calls.add("avoid hub");
+		}
+
+	}
+
 	/**
 	 * Returns queued watch results; a result with revision 0 stands for a failed call.
 	 */
@@ -233,6 +396,7 @@
 
 		@Override
 		public void onListed(List<StoredObject> objects, ClockReading asOf) {
+			KindWatcherTest.this.confirmations.add(asOf);
 			KindWatcherTest.this.notifications.add("listed");
 		}
 
@@ -241,6 +405,7 @@
 			if (changes.stream().anyMatch((change) -> change.key().endsWith(UNUSABLE))) {
 				throw new IllegalArgumentException("unusable");
 			}
+			KindWatcherTest.this.confirmations.add(asOf);
 			KindWatcherTest.this.notifications.add("changed " + changes.size());
 		}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelaySettingsReaderTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelaySettingsReaderTest.java
@@ -53,4 +53,13 @@
 		assertThat(error.errors().get(0)).contains("true or false");
 	}
 
+	/** Fails if changes are to be shared without an address and nobody is told. */
+	@Test
+	void sharedChangesNeedAnAddress() throws SettingsException {
+		String shared = "siblings.share_changes = true\n";
+		assertThat(parse(shared + "listen.siblings = \"127.0.0.1:4\"\n").siblings().shareChanges()).isTrue();
+		SettingsException error = assertThrows(SettingsException.class, () -> parse(shared));
+		assertThat(error).hasMessageThat().contains("listen.siblings");
+	}
+
 }
