Learn output lengths by route, team and hint

LengthEstimator knew one percentile of outputs by team and pipeline, and the relay took the declared maximum as the output of a request. The estimator now also learns outputs as multiples of the client's hint, or of the maximum where there is none: a mean for times, the 95th percentile for memory, with teams of few outputs estimated from the whole route. Nothing in the relay uses it yet; the estimates of the stepwise router are as before (AdmissionTest passes).

--- a/mulberrycross/src/main/java/org/mulberrycross/caller/ClientCall.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/ClientCall.java
@@ -21,9 +21,11 @@
  * unless it resumes a stream, not null
  * @param sharedPromptParts the ids of the parts of the prompt that other requests may
  * share, in order and without duplicates, not null
+ * @param outputHintTokens the client's estimate of the output tokens, 0 if unknown
  */
 public record ClientCall(String id, String host, String path, Optional<String> key, Optional<Duration> timeout,
-		int promptTokens, int maxOutputTokens, OptionalLong lastEventId, List<String> sharedPromptParts) {
+		int promptTokens, int maxOutputTokens, OptionalLong lastEventId, List<String> sharedPromptParts,
+		int outputHintTokens) {
 
 	/**
 	 * Creates a call.
@@ -37,6 +39,7 @@
 	 * @param lastEventId the identifier of the last received event, or empty, not null
 	 * @param sharedPromptParts the ids of the parts of the prompt that other requests may
 	 * share, not null
+	 * @param outputHintTokens the client's estimate of the output tokens, 0 if unknown
 	 */
 	public ClientCall {
 		Objects.requireNonNull(id, "id");
@@ -48,4 +51,22 @@
 		sharedPromptParts = sharedPromptParts.stream().distinct().toList();
 	}
 
+	/**
+	 * Creates a call without an estimate of its output.
+	 * @param id the identifier of this attempt, not null
+	 * @param host the requested host, not null
+	 * @param path the path without the query, not null
+	 * @param key the API key, or empty, not null
+	 * @param timeout the client's timeout, or empty, not null
+	 * @param promptTokens the number of tokens in the prompt
+	 * @param maxOutputTokens the maximum number of tokens to generate
+	 * @param lastEventId the identifier of the last received event, or empty, not null
+	 * @param sharedPromptParts the ids of the parts of the prompt that other requests may
+	 * share, not null
+	 */
+	public ClientCall(String id, String host, String path, Optional<String> key, Optional<Duration> timeout,
+			int promptTokens, int maxOutputTokens, OptionalLong lastEventId, List<String> sharedPromptParts) {
+		this(id, host, path, key, timeout, promptTokens, maxOutputTokens, lastEventId, sharedPromptParts, 0);
+	}
+
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/caller/LengthEstimator.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/LengthEstimator.java
@@ -4,10 +4,11 @@
 import java.util.Map;
 
 /**
- * Estimates the output length of requests from the requested maximum and the team's
- * history on the pipeline. The history is a running estimate of the 95th percentile, so
- * that rare long outputs do not classify all work of a team as long. Not thread-safe;
- * owned by the control thread.
+ * Estimates the output length of requests from their basis (the client's hint, else the
+ * requested maximum) and the history of their team and route. A history holds outputs as
+ * multiples of the basis: a running mean, and a running estimate of the 95th percentile
+ * so that rare long outputs do not classify all work of a team as long. Both follow new
+ * outputs. Not thread-safe; owned by the control thread.
  */
 public final class LengthEstimator {
 
@@ -22,20 +23,29 @@
 	/** Outputs up to this multiple of the percentile do not exceed the estimate. */
 	private static final double MARGIN_FACTOR = 1.5;
 
-	private final Map<HistoryKey, Double> percentiles;
+	/** Minimum weight of a new output in the mean, which forgets older ones. */
+	private static final double MIN_MEAN_WEIGHT = 0.02;
+
+	/**
+	 * Number of outputs at which the history of a team weighs as much as that of its
+	 * route.
+	 */
+	private static final double TEAM_HALF_WEIGHT = 8;
+
+	private final Map<HistoryKey, History> histories;
 
 	/**
 	 * Creates an estimator without history.
-	 * @param maxHistories the maximum number of team and pipeline pairs, at least 1; the
-	 * least recently used pair is evicted first
+	 * @param maxHistories the maximum number of histories, at least 1; the least recently
+	 * used one is evicted first
 	 */
 	public LengthEstimator(int maxHistories) {
-		this.percentiles = new LinkedHashMap<>(16, 0.75f, true) {
+		this.histories = new LinkedHashMap<>(16, 0.75f, true) {
 
 			private static final long serialVersionUID = 1L;
 
 			@Override
-			protected boolean removeEldestEntry(Map.Entry<HistoryKey, Double> eldest) {
+			protected boolean removeEldestEntry(Map.Entry<HistoryKey, History> eldest) {
 				return size() > maxHistories;
 			}
 
@@ -49,11 +59,11 @@
 	 * team has no history on the pipeline
 	 */
 	public int estimate(CallerRequest request) {
-		Double percentile = this.percentiles.get(new HistoryKey(request.team(), request.pipeline()));
-		if (percentile == null) {
+		History history = this.histories.get(keyOf(request));
+		if (history == null) {
 			return request.maxTokens();
 		}
-		return (int) Math.max(1, Math.min(request.maxTokens(), Math.ceil(MARGIN_FACTOR * percentile)));
+		return (int) Math.max(1, Math.min(request.maxTokens(), Math.ceil(MARGIN_FACTOR * history.percentile())));
 	}
 
 	/**
@@ -62,23 +72,117 @@
 	 * @param tokens the number of generated tokens; values below 1 are ignored
 	 */
 	public void recordLength(CallerRequest request, int tokens) {
+		if (tokens >= 1) {
+			record(keyOf(request), tokens, 1);
+		}
+	}
+
+	/**
+	 * Estimates the output length of a request. Teams with few outputs are estimated
+	 * mostly from all outputs of the route.
+	 * @param basis what is known before the request runs, not null
+	 * @return the estimate, at most the requested maximum if there is one; the hint and
+	 * the maximum, or 0 without them, if the route has no history
+	 */
+	public OutputEstimate estimate(OutputBasis basis) {
+		double reference = reference(basis);
+		History route = this.histories.get(routeKey(basis));
+		if (route == null) {
+			double expected = (kind(basis) == BasisKind.NONE) ? 0 : reference;
+			return limited(basis, expected, Math.max(expected, basis.maxTokens()));
+		}
+		History team = this.histories.getOrDefault(teamKey(basis), route);
+		double weight = team.outputs() / (team.outputs() + TEAM_HALF_WEIGHT);
+		double mean = weight * team.mean() + (1 - weight) * route.mean();
+		double percentile = weight * team.percentile() + (1 - weight) * route.percentile();
+		return limited(basis, reference * mean, reference * Math.max(mean, percentile));
+	}
+
+	/**
+	 * Updates the histories with the length of a complete output.
+	 * @param basis what was known before the request ran, not null
+	 * @param tokens the number of generated tokens; values below 1 are ignored
+	 */
+	public void recordLength(OutputBasis basis, double tokens) {
 		if (tokens < 1) {
 			return;
 		}
-		this.percentiles.merge(new HistoryKey(request.team(), request.pipeline()), (double) tokens,
-				(percentile, initial) -> {
-					double direction = (tokens > percentile) ? TARGET_QUANTILE : TARGET_QUANTILE - 1;
-					return Math.max(1, percentile * (1 + RELATIVE_STEP * direction));
-				});
+		double reference = reference(basis);
+		record(routeKey(basis), tokens / reference, 1 / reference);
+		if (!basis.team().isEmpty()) {
+			record(teamKey(basis), tokens / reference, 1 / reference);
+		}
+	}
+
+	private void record(HistoryKey key, double ratio, double minRatio) {
+		this.histories.merge(key, new History(1, ratio, ratio), (history, first) -> history.plus(ratio, minRatio));
+	}
+
+	private static OutputEstimate limited(OutputBasis basis, double expected, double high) {
+		double limit = (basis.maxTokens() > 0) ? basis.maxTokens() : Double.POSITIVE_INFINITY;
+		return new OutputEstimate(Math.min(limit, expected), Math.min(limit, high));
+	}
+
+	private static BasisKind kind(OutputBasis basis) {
+		if (basis.hintTokens() > 0) {
+			return BasisKind.HINT;
+		}
+		return (basis.maxTokens() > 0) ? BasisKind.LIMIT : BasisKind.NONE;
+	}
+
+	private static double reference(OutputBasis basis) {
+		return switch (kind(basis)) {
+			case HINT -> basis.hintTokens();
+			case LIMIT -> basis.maxTokens();
+			case NONE -> 1;
+		};
+	}
+
+	private static HistoryKey keyOf(CallerRequest request) {
+		return new HistoryKey(request.team(), request.pipeline(), BasisKind.NONE);
+	}
+
+	private static HistoryKey teamKey(OutputBasis basis) {
+		return new HistoryKey(basis.team(), basis.route(), kind(basis));
+	}
+
+	private static HistoryKey routeKey(OutputBasis basis) {
+		return new HistoryKey("", basis.route(), kind(basis));
+	}
+
+	/** Amounts that outputs are multiples of. */
+	private enum BasisKind {
+
+		HINT, LIMIT, NONE
+
 	}
 
 	/**
 	 * Identifies a history.
 	 *
-	 * @param team the name of the team
-	 * @param pipeline the name of the pipeline
+	 * @param team the name of the team, empty for all teams of a route
+	 * @param route the name of the route or pipeline
+	 * @param kind the amount that outputs are multiples of
 	 */
-	private record HistoryKey(String team, String pipeline) {
+	private record HistoryKey(String team, String route, BasisKind kind) {
+
+	}
+
+	/**
+	 * Outputs as multiples of their basis.
+	 *
+	 * @param outputs the number of outputs
+	 * @param mean the running mean
+	 * @param percentile the running estimate of the 95th percentile
+	 */
+	private record History(long outputs, double mean, double percentile) {
+
+		History plus(double ratio, double minRatio) {
+			double meanWeight = Math.max(MIN_MEAN_WEIGHT, 1.0 / (this.outputs + 1));
+			double direction = (ratio > this.percentile) ? TARGET_QUANTILE : TARGET_QUANTILE - 1;
+			return new History(this.outputs + 1, this.mean + meanWeight * (ratio - this.mean),
+					Math.max(minRatio, this.percentile * (1 + RELATIVE_STEP * direction)));
+		}
 
 	}
 
