--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EnginePath.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EnginePath.java
@@ -44,6 +44,19 @@
 		return this.stages.get(0).engine();
 	}
 
+	/**
+	 * Returns how often a token on this path passes from one data centre to another.
+	 * @return the number of crossings
+	 */
+	public int crossings() {
+		int crossings = 0;
+		for (int i = 1; i < this.stages.size(); i++) {
+			String previous = this.stages.get(i - 1).engine().upstream().dataCentre();
+			crossings += previous.equals(this.stages.get(i).engine().upstream().dataCentre()) ? 0 : 1;
+		}
+		return crossings;
+	}
+
 	/**
 	 * Returns the engine of this path at an address.
 	 * @param address the address, not null
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
@@ -23,11 +23,11 @@
 	private static final double HOP_LATENCY_MILLIS = 0.3;
 
 	/**
-	 * Penalty for a hop to another data centre. Activations of all requests share one
-	 * link, which a few requests per second saturate, so a path leaves its data centre
-	 * only if there is no alternative.
+	 * Penalty for a hop to another data centre over a link without room. Activations of
+	 * all requests share one link, which a few requests per second saturate, so a path
+	 * leaves its data centre only if there is no alternative.
 	 */
-	private static final double CROSS_DATA_CENTRE_PENALTY_MILLIS = 20_000;
+	public static final double CROSS_DATA_CENTRE_PENALTY_MILLIS = 20_000;
 
 	/** Maximum number of stages in a path that engines accept. */
 	private static final int MAX_STAGES = 32;
@@ -48,6 +48,25 @@
 		this.profile = Objects.requireNonNull(profile, "profile");
 	}
 
+	/**
+	 * Finds the fastest path through all layers that leaves its data centre only if there
+	 * is no alternative.
+	 * @param engines the eligible engines, not null; those without layers or of an
+	 * unknown kind are ignored
+	 * @param tokens the size of the request, not null
+	 * @param slowdown the factor by which an engine is expected to be slower than when
+	 * idle, at least 1, or infinite if it is saturated; not null
+	 * @param queuedPromptTokens the prompt tokens that an engine processes before those
+	 * of the request, not null
+	 * @param random the source of the jitter, not null
+	 * @return the path, or empty if the engines cannot run all layers
+	 */
+	public Optional<EnginePath> find(Collection<EngineInstance> engines, RequestTokens tokens,
+			ToDoubleFunction<EngineInstance> slowdown, ToDoubleFunction<EngineInstance> queuedPromptTokens,
+			RandomGenerator random) {
+		return find(engines, tokens, slowdown, queuedPromptTokens, CROSS_DATA_CENTRE_PENALTY_MILLIS, random);
+	}
+
 	/**
 	 * Finds the fastest path through all layers.
 	 * @param engines the eligible engines, not null; those without layers or of an
@@ -57,12 +76,14 @@
 	 * idle, at least 1, or infinite if it is saturated; not null
 	 * @param queuedPromptTokens the prompt tokens that an engine processes before those
 	 * of the request, not null
+	 * @param crossingMillis the time that a hop to another data centre adds, in
+	 * milliseconds
 	 * @param random the source of the jitter, not null
 	 * @return the path, or empty if the engines cannot run all layers
 	 */
 	public Optional<EnginePath> find(Collection<EngineInstance> engines, RequestTokens tokens,
 			ToDoubleFunction<EngineInstance> slowdown, ToDoubleFunction<EngineInstance> queuedPromptTokens,
-			RandomGenerator random) {
+			double crossingMillis, RandomGenerator random) {
 		List<Candidate> candidates = new ArrayList<>();
 		for (EngineInstance engine : engines) {
 			Optional<AcceleratorKind> kind = this.profile.kind(engine);
@@ -74,7 +95,7 @@
 						held.size() * millisPerLayer(kind.get(), queued)));
 			}
 		}
-		return findCheapestPath(candidates, HOP_LATENCY_MILLIS * (tokens.output() + 1));
+		return findCheapestPath(candidates, HOP_LATENCY_MILLIS * (tokens.output() + 1), crossingMillis);
 	}
 
 	private double millisPerLayer(AcceleratorKind kind, RequestTokens tokens) {
@@ -86,14 +107,14 @@
 	// Finds the path by dynamic programming over layer boundaries. Each boundary keeps
 	// only the cheapest partial path of each data centre, so that the running time grows
 	// linearly with the number of engines.
-	private Optional<EnginePath> findCheapestPath(List<Candidate> candidates, double hopMillis) {
+	private Optional<EnginePath> findCheapestPath(List<Candidate> candidates, double hopMillis, double crossingMillis) {
 		int layers = this.profile.layers();
 		Map<Integer, List<Candidate>> byEnd = candidates.stream()
 			.collect(Collectors.groupingBy((candidate) -> candidate.layers().end()));
 		List<Boundary> boundaries = new ArrayList<>(layers + 1);
-		boundaries.add(new Boundary(true));
+		boundaries.add(new Boundary(true, crossingMillis));
 		for (int end = 1; end <= layers; end++) {
-			Boundary boundary = new Boundary(false);
+			Boundary boundary = new Boundary(false, crossingMillis);
 			for (Candidate candidate : byEnd.getOrDefault(end, List.of())) {
 				cheapestEndingWith(candidate, boundaries, hopMillis).ifPresent(boundary::keepIfCheaper);
 			}
@@ -148,8 +169,8 @@
 		}
 
 		// Returns the time after which an engine in the data centre can continue.
-		double arrivalMillis(String dataCentre) {
-			return this.millis + (this.last.dataCentre().equals(dataCentre) ? 0 : CROSS_DATA_CENTRE_PENALTY_MILLIS);
+		double arrivalMillis(String dataCentre, double crossingMillis) {
+			return this.millis + (this.last.dataCentre().equals(dataCentre) ? 0 : crossingMillis);
 		}
 
 		EnginePath toPath() {
@@ -174,13 +195,16 @@
 
 		private final boolean isStart;
 
+		private final double crossingMillis;
+
 		private final Map<String, PartialPath> cheapestByLastDataCentre = new HashMap<>();
 
 		/** Cheapest partial path by the data centre of the engine that continues it. */
 		private final Map<String, Optional<PartialPath>> cheapestToDataCentre = new HashMap<>();
 
-		Boundary(boolean isStart) {
+		Boundary(boolean isStart, double crossingMillis) {
 			this.isStart = isStart;
+			this.crossingMillis = crossingMillis;
 		}
 
 		void keepIfCheaper(PartialPath path) {
@@ -198,7 +222,7 @@
 					(name) -> this.cheapestByLastDataCentre.values()
 						.stream()
 						.filter((path) -> path.stageCount() < MAX_STAGES)
-						.min(Comparator.comparingDouble((path) -> path.arrivalMillis(name))));
+						.min(Comparator.comparingDouble((path) -> path.arrivalMillis(name, this.crossingMillis))));
 		}
 
 		// Returns the time after which an engine in the data centre can continue, or
@@ -208,7 +232,8 @@
 				return 0;
 			}
 			Optional<PartialPath> path = cheapestTo(dataCentre);
-			return path.isPresent() ? path.get().arrivalMillis(dataCentre) : Double.POSITIVE_INFINITY;
+			return path.isPresent() ? path.get().arrivalMillis(dataCentre, this.crossingMillis)
+					: Double.POSITIVE_INFINITY;
 		}
 
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/PathFinderTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/PathFinderTest.java
@@ -144,4 +144,26 @@
 			.isEqualTo(Optional.empty());
 	}
 
+	/**
+	 * Fails if a path through loaded engines is preferred to one that crosses a link with
+	 * room, or if it crosses a link without room.
+	 */
+	@Test
+	void crossesLinkOnlyIfThatIsFaster() {
+		List<EngineInstance> engines = List.of(TestEngines.engineWithLayers("first", "slow", "dc-0", 0, 40),
+				TestEngines.engineWithLayers("loaded", "slow", "dc-0", 40, 80),
+				TestEngines.engineWithLayers("far", "slow", "dc-1", 40, 80));
+		assertThat(lastEngine(engines, 100)).isEqualTo("far");
+		assertThat(lastEngine(engines, PathFinder.CROSS_DATA_CENTRE_PENALTY_MILLIS)).isEqualTo("loaded");
+	}
+
+	private String lastEngine(List<EngineInstance> engines, double crossingMillis) {
+		EnginePath path = this.finder
+			.find(engines, TOKENS, (engine) -> engine.id().equals("loaded") ? 4 : 1, (engine) -> 0, crossingMillis,
+					() -> 0)
+			.orElseThrow();
+		assertThat(path.crossings()).isEqualTo(path.stages().get(1).engine().id().equals("far") ? 1 : 0);
+		return path.stages().get(1).engine().id();
+	}
+
 }
