Route by expected cost where the settings ask for it

UpstreamSelector took the declared maximum as the output of a request, let a request start at an engine up to 0.9 of its memory whatever the request's size, and never crossed a link with room. With routing.expected_cost, tokens come from what streams have written (events times the tokens of an event, which follow from the mean output of the service), an engine must have room for the request to its end, a crossing costs what the link takes, and slow engines are noticed from the pace of streams. Real against expected output is counted in buckets. Without the setting, nothing changes. Guarded by UpstreamSelectorTest.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
@@ -26,6 +26,8 @@
 
 	private OptionalLong lastId;
 
+	private long numberedEvents;
+
 	private boolean unnumberedData;
 
 	private boolean sequenceGap;
@@ -105,6 +107,15 @@
 		return this.lastId;
 	}
 
+	/**
+	 * Returns the number of new events with an id. Ids need not start at 1, so they don't
+	 * tell it.
+	 * @return the number of events since this stream was created
+	 */
+	public long numberedEvents() {
+		return this.numberedEvents;
+	}
+
 	/**
 	 * Returns whether the client has data of an event without a numeric id. Another
 	 * engine cannot go on after such an event, since it would send the data again.
@@ -163,6 +174,7 @@
 			return false;
 		}
 		this.lastId = id;
+		this.numberedEvents++;
 		return true;
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -104,6 +104,10 @@
 
 	private final CrashTracker crashTracker;
 
+	private final StreamPaces streamPaces = new StreamPaces(this.slowdowns);
+
+	private boolean expectedCost;
+
 	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
 
 	private int daemonCount = DEFAULT_DAEMON_COUNT;
@@ -120,6 +124,8 @@
 		this.admission = new RequestAdmission(settings, clock);
 		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
 				(engineId, own, nowNanos) -> own.times(this.daemonCount));
+		this.expectedCost = settings.expectedCost();
+		this.selector.useExpectedCost(this.expectedCost);
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
@@ -168,6 +174,8 @@
 		this.controlThread.post(() -> {
 			this.admission.reload(changed);
 			this.retryBudgets.reload(changed);
+			this.expectedCost = changed.expectedCost();
+			this.selector.useExpectedCost(this.expectedCost);
 		});
 	}
 
@@ -182,6 +190,7 @@
 		this.controlThread.assertOnControlThread();
 		this.daemonCount = Math.max(1, count);
 		this.retryBudgets.updateDaemonCount(Math.max(1, count));
+		this.selector.updateDaemonCount(Math.max(1, count));
 	}
 
 	void markDirectoryListed() {
@@ -294,7 +303,7 @@
 			return false;
 		}
 		RelayAttempt attempt = new RelayAttempt(exchange, forwarding.get(), this.messageFormat, this,
-				UpstreamSelector.requestTokens(exchange), this.responseBuffers);
+				this.selector.requestTokens(exchange, forwarding.get().upstream().service()), this.responseBuffers);
 		attempt.setCrashCounts(this.crashTracker.crashCounts(exchange));
 		exchange.startAttempt(attempt);
 		exchange.addExecutions(1);
@@ -336,6 +345,7 @@
 			}
 			attempt.upstreamIds().forEach(this.health::recordSuccess);
 			this.crashTracker.recordBegun(attempt, this.clock.nanos());
+			this.selector.recordCompleted(attempt).ifPresent(this.metrics::recordOutputRatio);
 			this.inFlight.finish(exchange, "complete");
 		});
 	}
@@ -524,6 +534,9 @@
 			}
 		}
 		this.attemptMonitor.check(nowNanos);
+		if (this.expectedCost) {
+			this.streamPaces.sample(this.inFlight.snapshot(), this.selector.profiles(), nowNanos);
+		}
 	}
 
 	// Returns whether a retry is possible. A late response alone is no reason to fail a
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -204,6 +204,11 @@
 		return this.eventStream.lastId();
 	}
 
+	// Returns the number of events with an id that were sent to the client.
+	synchronized long sentEvents() {
+		return this.eventStream.numberedEvents();
+	}
+
 	// Returns whether a part of the response was sent to the client.
 	synchronized boolean isResponseStarted() {
 		return this.startedStatus.isPresent();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
@@ -1,6 +1,9 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -10,6 +13,14 @@
  */
 final class RelayMetrics {
 
+	/**
+	 * Upper limits of the buckets for real by expected values, with their names.
+	 */
+	private static final NavigableMap<Double, String> RATIO_BUCKETS = new TreeMap<>(Map.of(0.25, "to_25", 0.5, "to_50",
+			0.8, "to_80", 0.95, "to_95", 1.05, "to_105", 1.25, "to_125", 2.0, "to_200", 4.0, "to_400"));
+
+	private static final String HIGHEST_RATIO_BUCKET = "over_400";
+
 	private final MetricRegistry registry;
 
 	RelayMetrics(MetricRegistry registry) {
@@ -30,6 +41,15 @@
 		this.registry.counter("requests.sent_again").inc();
 	}
 
+	// Counts a complete stream by its real output relative to the expected one, in
+	// hundredths.
+	void recordOutputRatio(double ratio) {
+		Map.Entry<Double, String> bucket = RATIO_BUCKETS.ceilingEntry(ratio);
+		this.registry
+			.counter("output.real_by_expected." + ((bucket != null) ? bucket.getValue() : HIGHEST_RATIO_BUCKET))
+			.inc();
+	}
+
 	// Records the duration of a request. The outcome up to its first colon becomes the
 	// name of the metric.
 	void recordEnd(String outcome, Duration duration) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
@@ -68,10 +68,11 @@
 		double retryBurst = file.decimal("bounds.retry_burst", DEFAULT_RETRY_BURST, 0, MAX_RETRY_BURST);
 		double retryWindow = file.decimal("bounds.retry_window_s", DEFAULT_RETRY_WINDOW_SECONDS, 1,
 				MAX_RETRY_WINDOW_SECONDS);
+		boolean expectedCost = file.flag("routing.expected_cost", false);
 		file.throwIfInvalid();
 		return new RelaySettings(name.orElseThrow(), dataCentre.orElseThrow(), callerAddress.orElseThrow(),
 				readinessAddress.orElseThrow(), platformAddress.orElseThrow(), revocationLimit, propagationLimits,
-				secondsToDuration(shutdownGrace), retryRatio, retryBurst, secondsToDuration(retryWindow));
+				secondsToDuration(shutdownGrace), retryRatio, retryBurst, secondsToDuration(retryWindow), expectedCost);
 	}
 
 	private static Duration secondsToDuration(double seconds) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -14,7 +15,6 @@
 
 import org.mulberrycross.UpstreamInstance;
 import org.mulberrycross.caller.RouteRule;
-import org.mulberrycross.engine.AcceleratorKind;
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.EngineProfile;
@@ -22,6 +22,7 @@
 import org.mulberrycross.engine.LayerRange;
 import org.mulberrycross.engine.OutstandingWork;
 import org.mulberrycross.engine.PathFinder;
+import org.mulberrycross.engine.PipeBudget;
 import org.mulberrycross.engine.RequestTokens;
 
 /**
@@ -41,6 +42,15 @@
 	 */
 	private static final double SLOWDOWN_AT_FULL_UTILIZATION = 4;
 
+	/** Part of an engine's memory that is filled before other engines are preferred. */
+	private static final double USABLE_MEMORY = 0.95;
+
+	/**
+	 * Time, in milliseconds, that a path over the link between data centres must gain
+	 * over a local one: the jitter of a local path's time.
+	 */
+	private static final double MIN_CROSSING_GAIN_MILLIS = 200;
+
 	private final UpstreamDirectory directory;
 
 	private final UpstreamHealth health;
@@ -59,6 +69,14 @@
 
 	private final OutstandingWork outstandingWork;
 
+	private final RequestCosts costs = new RequestCosts();
+
+	private final PipeBudget pipeBudget = new PipeBudget();
+
+	private boolean expectedCost;
+
+	private int daemonCount = 1;
+
 	UpstreamSelector(UpstreamDirectory directory, UpstreamHealth health, EngineSlowdowns slowdowns, String dataCentre,
 			RandomGenerator random, OutstandingWork outstandingWork) {
 		this.directory = directory;
@@ -76,6 +94,15 @@
 		this.profiles.forEach((service, profile) -> this.pathFinders.put(service, new PathFinder(profile)));
 	}
 
+	// Sets whether costs are learned from streams, or taken from what clients declare.
+	void useExpectedCost(boolean enabled) {
+		this.expectedCost = enabled;
+	}
+
+	void updateDaemonCount(int count) {
+		this.daemonCount = count;
+	}
+
 	// Selects where to send a request, or returns empty if no upstream is eligible.
 	Optional<Forwarding> select(RelayExchange exchange, Duration remaining, long nowNanos) {
 		OptionalLong lastEventId = exchange.isStream() ? exchange.lastEventId() : OptionalLong.empty();
@@ -118,7 +145,12 @@
 			.toList();
 	}
 
-	static RequestTokens requestTokens(RelayExchange exchange) {
+	// Returns the tokens of a request that is sent to a service.
+	RequestTokens requestTokens(RelayExchange exchange, String service) {
+		EngineProfile profile = this.profiles.get(service);
+		if (this.expectedCost && profile != null) {
+			return this.costs.estimate(exchange, service, profile);
+		}
 		return new RequestTokens(exchange.call().promptTokens(), exchange.call().maxOutputTokens());
 	}
 
@@ -127,34 +159,50 @@
 		List<EngineInstance> engines = new ArrayList<>();
 		eligibleEntries(service, nowNanos).forEach((entry) -> entry.engine().ifPresent(engines::add));
 		EngineProfile profile = this.profiles.get(service);
+		RequestTokens tokens = requestTokens(exchange, service);
 		Predicate<EngineInstance> notFailed = (engine) -> !exchange.failedUpstreams().contains(engine.id());
 		Predicate<EngineInstance> notEjected = notFailed.and((engine) -> !this.health.isEjected(engine.id(), nowNanos));
 		Predicate<EngineInstance> unsuspected = notEjected
 			.and((engine) -> !exchange.suspectedUpstreams().contains(engine.id()));
 		// From preferred engines to the last resort.
 		Stream<Predicate<EngineInstance>> tiers = Stream.of(
-				unsuspected.and((engine) -> isBelowSaturation(profile, engine, nowNanos)), unsuspected, notEjected,
+				unsuspected.and((engine) -> hasRoom(profile, engine, tokens, nowNanos)), unsuspected, notEjected,
 				notFailed.and((engine) -> !this.health.isStalled(engine.id(), nowNanos)), notFailed);
-		return tiers
-			.map((eligible) -> findPath(exchange, service, engines.stream().filter(eligible).toList(), nowNanos))
+		return tiers.map((eligible) -> findPath(service, tokens, engines.stream().filter(eligible).toList(), nowNanos))
 			.flatMap(Optional::stream)
 			.findFirst();
 	}
 
-	private Optional<EnginePath> findPath(RelayExchange exchange, String service, List<EngineInstance> engines,
+	private Optional<EnginePath> findPath(String service, RequestTokens tokens, List<EngineInstance> engines,
 			long nowNanos) {
 		EngineProfile profile = this.profiles.get(service);
 		return this.pathFinders.get(service)
-			.find(engines, requestTokens(exchange),
+			.find(engines, tokens,
 					(engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
 							* (1 + utilization(profile, engine, nowNanos) * SLOWDOWN_AT_FULL_UTILIZATION),
 					(engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
 							* work(engine.id(), nowNanos).pendingPromptTokens(),
-					this.random);
+					crossingMillis(profile, tokens, nowNanos), this.random);
 	}
 
-	private boolean isBelowSaturation(EngineProfile profile, EngineInstance engine, long nowNanos) {
-		return utilization(profile, engine, nowNanos) < SATURATION_THRESHOLD;
+	// Returns the time that a hop to another data centre adds.
+	private double crossingMillis(EngineProfile profile, RequestTokens tokens, long nowNanos) {
+		if (!this.expectedCost || !this.pipeBudget.hasRoom(this.daemonCount, nowNanos)) {
+			return PathFinder.CROSS_DATA_CENTRE_PENALTY_MILLIS;
+		}
+		return profile.pipe()
+			.map((pipe) -> MIN_CROSSING_GAIN_MILLIS + pipe.crossingMillis(tokens))
+			.orElse(PathFinder.CROSS_DATA_CENTRE_PENALTY_MILLIS);
+	}
+
+	// Returns whether an engine is expected to have room for a request to its end.
+	private boolean hasRoom(EngineProfile profile, EngineInstance engine, RequestTokens tokens, long nowNanos) {
+		if (!this.expectedCost) {
+			return utilization(profile, engine, nowNanos) < SATURATION_THRESHOLD;
+		}
+		EngineWork work = work(engine.id(), nowNanos);
+		boolean memory = work.tokens() + tokens.highTotal() <= profile.cacheTokens(engine) * USABLE_MEMORY;
+		return memory && slotUse(engine, work) < SATURATION_THRESHOLD;
 	}
 
 	// Returns the work that all daemons are expected to have at an upstream.
@@ -165,17 +213,16 @@
 	// Returns the used share of an engine: of its cache memory or, for an engine that can
 	// be the first of a path, of its request slots if that is more.
 	private double utilization(EngineProfile profile, EngineInstance engine, long nowNanos) {
-		int layerCount = engine.layers().map(LayerRange::size).orElse(0);
-		double freeMb = profile.kind(engine).map(AcceleratorKind::memoryMb).orElse(0.0)
-				- layerCount * profile.weightMbPerLayer();
-		double capacityTokens = freeMb / (profile.cacheMbPerTokenAndLayer() * Math.max(1, layerCount));
 		EngineWork work = work(engine.id(), nowNanos);
-		double memoryUse = work.tokens() / Math.max(1, capacityTokens);
-		if (engine.layers().map((held) -> held.first() > 0).orElse(true)) {
-			return memoryUse;
-		}
-		double slots = Math.max(1, engine.upstream().slots());
-		return Math.max(memoryUse, work.requests() / slots);
+		double memoryUse = work.tokens() / Math.max(1, profile.cacheTokens(engine));
+		return Math.max(memoryUse, slotUse(engine, work));
+	}
+
+	// Returns the used share of an engine's request slots, 0 for one that cannot be the
+	// first of a path.
+	private static double slotUse(EngineInstance engine, EngineWork work) {
+		boolean first = engine.layers().map((held) -> held.first() == 0).orElse(false);
+		return first ? work.requests() / Math.max(1, engine.upstream().slots()) : 0;
 	}
 
 	// Selects the least loaded instance of a plain service, with preference for instances
@@ -193,6 +240,31 @@
 
 	void recordSent(RelayAttempt attempt) {
 		this.load.add(attempt.upstreamIds(), attempt.tokens());
+		int crossings = attempt.forwarding().path().map(EnginePath::crossings).orElse(0);
+		if (crossings > 0) {
+			Optional.ofNullable(this.profiles.get(attempt.forwarding().upstream().service()))
+				.flatMap(EngineProfile::pipe)
+				.ifPresent((pipe) -> this.pipeBudget.charge(crossings * pipe.occupiedMillis(attempt.tokens()),
+						this.daemonCount, attempt.startedNanos()));
+		}
+	}
+
+	// Learns from a stream that is complete. Returns the real output by the expected one,
+	// empty if it cannot be told.
+	OptionalDouble recordCompleted(RelayAttempt attempt) {
+		EngineProfile profile = this.profiles.get(attempt.forwarding().upstream().service());
+		if (!this.expectedCost || profile == null) {
+			return OptionalDouble.empty();
+		}
+		OptionalDouble tokens = this.costs.recordCompleted(attempt.exchange(),
+				attempt.forwarding().upstream().service(), profile);
+		return (tokens.isPresent() && attempt.exchange().attempts() == 1 && attempt.tokens().output() > 0)
+				? OptionalDouble.of(tokens.getAsDouble() / attempt.tokens().output()) : OptionalDouble.empty();
+	}
+
+	// Returns the profiles of the services that run on engines.
+	Map<String, EngineProfile> profiles() {
+		return this.profiles;
 	}
 
 	// Subtracts the attempt's prompt from its upstreams' pending prefill, at most once.
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -50,7 +50,7 @@
 	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, "dc",
 			new SplittableRandom(1), (engineId, own, nowNanos) -> own);
 
-	private final RelayExchange exchange = exchange();
+	private final RelayExchange exchange = exchange(100);
 
 	@BeforeEach
 	void configure() {
@@ -61,10 +61,10 @@
 		put("second", 5, 10, 134);
 	}
 
-	private static RelayExchange exchange() {
-		RelayExchange created = new RelayExchange(
-				new RelayRequest("POST", "/", Headers.of(List.of()), new byte[0]), new ClientCall("id", "host", "/",
-						Optional.empty(), Optional.empty(), 100, 100, OptionalLong.empty(), List.of()),
+	private static RelayExchange exchange(int promptTokens) {
+		RelayExchange created = new RelayExchange(new RelayRequest("POST", "/", Headers.of(List.of()), new byte[0]),
+				new ClientCall("id", "host", "/", Optional.empty(), Optional.empty(), promptTokens, 100,
+						OptionalLong.empty(), List.of()),
 				new RecordingWriter(), ClockReading.now(MonotonicClock.system()));
 		created.admit(RULE, Optional.empty());
 		return created;
@@ -201,4 +201,32 @@
 		assertThat(selectPath()).containsExactly("first", "second").inOrder();
 	}
 
+	/**
+	 * Pattern: requests larger than the rest of an engine's memory. Fails if a request is
+	 * sent over an engine that has no room for it to its end although another engine,
+	 * even a slow one, has, or if that engine is not used where there is no other.
+	 */
+	@Test
+	void requestGoesWhereItHasRoomToItsEnd() {
+		this.selector.useExpectedCost(true);
+		put("first", 0, 5, 134);
+		for (int i = 0; i < 13; i++) {
+			this.selector.recordSent(attempt(this.exchange));
+		}
+		put("other", 0, 5, 134);
+		put("slow", 5, 10, 134);
+		this.slowdowns.record("slow", 12, 0);
+		assertThat(attempt(this.exchange).upstreamIds()).containsExactly("other", "second").inOrder();
+		RelayExchange large = exchange(500);
+		assertThat(attempt(large).upstreamIds()).containsExactly("other", "slow").inOrder();
+		large.failedUpstreams().add("slow");
+		assertThat(attempt(large).upstreamIds()).containsExactly("other", "second").inOrder();
+	}
+
+	private RelayAttempt attempt(RelayExchange sent) {
+		Forwarding forwarding = this.selector.select(sent, Duration.ofSeconds(5), 0).orElseThrow();
+		return new RelayAttempt(sent, forwarding, null, null, this.selector.requestTokens(sent, "model"),
+				new ResponseBuffers());
+	}
+
 }
