Avoid an engine without room in proportion to what its estimate lacked

An engine that turned a request away was shut out for all requests of the daemon for 250 ms to 4 s, which moved them all to the engines that were left, and then it was open for all. With routing.expected_cost it is taken as full for a moment, and what the estimate of its work lacked fades after it, so small requests return first; only the engine that the answer names is concerned. The request log tells expected output and events.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -345,7 +345,7 @@
 			}
 			attempt.upstreamIds().forEach(this.health::recordSuccess);
 			this.crashTracker.recordBegun(attempt, this.clock.nanos());
-			this.selector.recordCompleted(attempt).ifPresent(this.metrics::recordOutputRatio);
+			this.selector.recordCompleted(attempt, this.clock.nanos()).ifPresent(this.metrics::recordOutputRatio);
 			this.inFlight.finish(exchange, "complete");
 		});
 	}
@@ -398,7 +398,7 @@
 		attempt.exchange().failedUpstreams().add(id);
 		if (attempt.forwarding().path().isPresent() && !upstreamHead.misdirected()
 				&& nowNanos - attempt.startedNanos() < MAX_SATURATION_REPLY_TIME.toNanos()) {
-			this.health.recordSaturation(id, nowNanos);
+			this.selector.recordNoRoom(attempt, id, nowNanos);
 			return;
 		}
 		this.health.recordFailure(id, reason, nowNanos);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -42,6 +42,8 @@
 			.addKeyValue("try", exchange.attempts())
 			.addKeyValue("upstream", attempt.upstreamIds())
 			.addKeyValue("age_ms", exchange.age(this.clock.nanos()).toMillis())
+			.addKeyValue("max_output", exchange.call().maxOutputTokens())
+			.addKeyValue("expected_output", Math.round(attempt.tokens().output()))
 			.addKeyValue("parts", exchange.call().sharedPromptParts())
 			.log("request sent to upstream");
 	}
@@ -88,6 +90,7 @@
 			.addKeyValue("upstream", (attempt != null) ? attempt.forwarding().upstream().id() : "")
 			.addKeyValue("framing", (attempt != null) ? framingText(attempt) : "")
 			.addKeyValue("last_event", exchange.lastEventId().orElse(-1))
+			.addKeyValue("events", exchange.sentEvents())
 			.addKeyValue("outcome", outcome)
 			.log("request ended");
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -20,6 +20,7 @@
 import org.mulberrycross.engine.EngineProfile;
 import org.mulberrycross.engine.EngineWork;
 import org.mulberrycross.engine.LayerRange;
+import org.mulberrycross.engine.ObservedRoom;
 import org.mulberrycross.engine.OutstandingWork;
 import org.mulberrycross.engine.PathFinder;
 import org.mulberrycross.engine.PipeBudget;
@@ -73,6 +74,8 @@
 
 	private final PipeBudget pipeBudget = new PipeBudget();
 
+	private final ObservedRoom observedRoom = new ObservedRoom();
+
 	private boolean expectedCost;
 
 	private int daemonCount = 1;
@@ -207,7 +210,8 @@
 
 	// Returns the work that all daemons are expected to have at an upstream.
 	private EngineWork work(String id, long nowNanos) {
-		return this.outstandingWork.at(id, this.load.at(id), nowNanos);
+		return this.outstandingWork.at(id, this.load.at(id), nowNanos)
+			.plus(new EngineWork(0, this.observedRoom.unexpectedTokens(id, nowNanos), 0));
 	}
 
 	// Returns the used share of an engine: of its cache memory or, for an engine that can
@@ -249,13 +253,28 @@
 		}
 	}
 
+	// Records that an engine had no room for an attempt. It is avoided in proportion to
+	// what the estimate of its work lacked.
+	void recordNoRoom(RelayAttempt attempt, String id, long nowNanos) {
+		Optional<EngineProfile> profile = Optional
+			.ofNullable(this.profiles.get(attempt.forwarding().upstream().service()));
+		Optional<EngineInstance> engine = this.directory.find(id).flatMap(DirectoryEntry::engine);
+		if (!this.expectedCost || profile.isEmpty() || engine.isEmpty()) {
+			this.health.recordSaturation(id, nowNanos);
+			return;
+		}
+		double estimatedTokens = this.outstandingWork.at(id, this.load.at(id), nowNanos).tokens();
+		this.observedRoom.recordRejected(id, profile.get().cacheTokens(engine.get()), estimatedTokens, nowNanos);
+	}
+
 	// Learns from a stream that is complete. Returns the real output by the expected one,
 	// empty if it cannot be told.
-	OptionalDouble recordCompleted(RelayAttempt attempt) {
+	OptionalDouble recordCompleted(RelayAttempt attempt, long nowNanos) {
 		EngineProfile profile = this.profiles.get(attempt.forwarding().upstream().service());
 		if (!this.expectedCost || profile == null) {
 			return OptionalDouble.empty();
 		}
+		attempt.upstreamIds().forEach((id) -> this.observedRoom.recordSuccess(id, nowNanos));
 		OptionalDouble tokens = this.costs.recordCompleted(attempt.exchange(),
 				attempt.forwarding().upstream().service(), profile);
 		return (tokens.isPresent() && attempt.exchange().attempts() == 1 && attempt.tokens().output() > 0)
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -223,6 +223,25 @@
 		assertThat(attempt(large).upstreamIds()).containsExactly("other", "second").inOrder();
 	}
 
+	/**
+	 * Pattern: another daemon has filled an engine in the middle of the paths. Fails if
+	 * the next requests go there again or avoid the engine before it as well, or if the
+	 * request that was turned away goes back to it.
+	 */
+	@Test
+	void noRoomIsBlamedOnNamedEngineOnly() {
+		this.selector.useExpectedCost(true);
+		put("other", 5, 10, 134);
+		this.slowdowns.record("other", 3, 0);
+		RelayAttempt attempt = attempt(this.exchange);
+		assertThat(attempt.upstreamIds()).containsExactly("first", "second").inOrder();
+		this.selector.recordNoRoom(attempt, "second", 0);
+		assertThat(attempt(exchange(100)).upstreamIds()).containsExactly("first", "other").inOrder();
+		this.exchange.failedUpstreams().add("other");
+		assertThat(selectPath()).containsExactly("first", "second").inOrder();
+		assertThat(this.health.isEjected("first", 0) || this.health.isEjected("second", 0)).isFalse();
+	}
+
 	private RelayAttempt attempt(RelayExchange sent) {
 		Forwarding forwarding = this.selector.select(sent, Duration.ofSeconds(5), 0).orElseThrow();
 		return new RelayAttempt(sent, forwarding, null, null, this.selector.requestTokens(sent, "model"),
