Count real against expected times of complete attempts

Expected output was counted against the real one, expected time was not known outside the path search. PathFinder tells it for a path, the request log has it as expected_ms, and time.real_by_expected.* counts complete attempts by the ratio. Guarded by PathFinderTest.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/PathFinder.java
@@ -98,6 +98,34 @@
 		return findCheapestPath(candidates, HOP_LATENCY_MILLIS * (tokens.output() + 1), crossingMillis);
 	}
 
+	/**
+	 * Returns the expected processing time of a request on a path, as {@code find}
+	 * computes it without jitter.
+	 * @param path the path, not null
+	 * @param tokens the size of the request, not null
+	 * @param slowdown the factor by which an engine is expected to be slower than when
+	 * idle, not null
+	 * @param queuedPromptTokens the prompt tokens that an engine processes before those
+	 * of the request, not null
+	 * @param crossingMillis the time that a hop to another data centre adds, in
+	 * milliseconds
+	 * @return the time, in milliseconds
+	 */
+	public double expectedMillis(EnginePath path, RequestTokens tokens, ToDoubleFunction<EngineInstance> slowdown,
+			ToDoubleFunction<EngineInstance> queuedPromptTokens, double crossingMillis) {
+		double millis = path.crossings() * crossingMillis;
+		for (PathStage stage : path.stages()) {
+			EngineInstance engine = stage.engine();
+			RequestTokens queued = new RequestTokens(queuedPromptTokens.applyAsDouble(engine), 0);
+			int heldLayers = engine.layers().map(LayerRange::size).orElse(0);
+			millis += HOP_LATENCY_MILLIS * (tokens.output() + 1) + this.profile.kind(engine)
+				.map((kind) -> stage.layers().size() * slowdown.applyAsDouble(engine) * millisPerLayer(kind, tokens)
+						+ heldLayers * millisPerLayer(kind, queued))
+				.orElse(0.0);
+		}
+		return millis;
+	}
+
 	private double millisPerLayer(AcceleratorKind kind, RequestTokens tokens) {
 		double decodeMillis = tokens.output() * this.profile.stepMillis() * kind.stepFactor();
 		double prefillMillis = tokens.prompt() / this.profile.prefillTokensPerMillis() * kind.prefillFactor();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.RequestTokens;
@@ -58,6 +59,8 @@
 
 	private Map<String, Integer> crashCounts = Map.of();
 
+	private OptionalDouble expectedMillis = OptionalDouble.empty();
+
 	private volatile boolean begun;
 
 	RelayAttempt(RelayExchange exchange, Forwarding forwarding, MessageFormat messageFormat, AttemptListener listener,
@@ -115,6 +118,15 @@
 		this.crashCounts = counts;
 	}
 
+	// Returns how long this attempt was expected to take, empty if unknown.
+	OptionalDouble expectedMillis() {
+		return this.expectedMillis;
+	}
+
+	void setExpectedMillis(OptionalDouble millis) {
+		this.expectedMillis = millis;
+	}
+
 	void attach(RelayCall startedCall) {
 		this.call = startedCall;
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -307,6 +307,7 @@
 		attempt.setCrashCounts(this.crashTracker.crashCounts(exchange));
 		exchange.startAttempt(attempt);
 		exchange.addExecutions(1);
+		attempt.setExpectedMillis(this.selector.expectedMillis(attempt, nowNanos));
 		this.selector.recordSent(attempt);
 		this.requestLog.logSent(exchange, attempt);
 		attempt.attach(this.client.send(forwarding.get().upstream().address(),
@@ -345,7 +346,8 @@
 			}
 			attempt.upstreamIds().forEach(this.health::recordSuccess);
 			this.crashTracker.recordBegun(attempt, this.clock.nanos());
-			this.selector.recordCompleted(attempt, this.clock.nanos()).ifPresent(this.metrics::recordOutputRatio);
+			this.metrics.recordCalibration(attempt, this.selector.recordCompleted(attempt, this.clock.nanos()),
+					this.clock.nanos());
 			this.inFlight.finish(exchange, "complete");
 		});
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.OptionalDouble;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -41,13 +42,18 @@
 		this.registry.counter("requests.sent_again").inc();
 	}
 
-	// Counts a complete stream by its real output relative to the expected one, in
-	// hundredths.
-	void recordOutputRatio(double ratio) {
+	// Counts a complete attempt by its real output and time relative to the expected
+	// ones, in hundredths.
+	void recordCalibration(RelayAttempt attempt, OptionalDouble outputRatio, long nowNanos) {
+		outputRatio.ifPresent((ratio) -> countRatio("output.real_by_expected.", ratio));
+		double millis = (nowNanos - attempt.startedNanos()) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+		attempt.expectedMillis()
+			.ifPresent((expected) -> countRatio("time.real_by_expected.", millis / Math.max(1, expected)));
+	}
+
+	private void countRatio(String prefix, double ratio) {
 		Map.Entry<Double, String> bucket = RATIO_BUCKETS.ceilingEntry(ratio);
-		this.registry
-			.counter("output.real_by_expected." + ((bucket != null) ? bucket.getValue() : HIGHEST_RATIO_BUCKET))
-			.inc();
+		this.registry.counter(prefix + ((bucket != null) ? bucket.getValue() : HIGHEST_RATIO_BUCKET)).inc();
 	}
 
 	// Records the duration of a request. The outcome up to its first colon becomes the
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -44,6 +44,7 @@
 			.addKeyValue("age_ms", exchange.age(this.clock.nanos()).toMillis())
 			.addKeyValue("max_output", exchange.call().maxOutputTokens())
 			.addKeyValue("expected_output", Math.round(attempt.tokens().output()))
+			.addKeyValue("expected_ms", Math.round(attempt.expectedMillis().orElse(-1)))
 			.addKeyValue("parts", exchange.call().sharedPromptParts())
 			.log("request sent to upstream");
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
@@ -180,14 +181,34 @@
 			long nowNanos) {
 		EngineProfile profile = this.profiles.get(service);
 		return this.pathFinders.get(service)
-			.find(engines, tokens,
-					(engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
-							* (1 + utilization(profile, engine, nowNanos) * SLOWDOWN_AT_FULL_UTILIZATION),
-					(engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
-							* work(engine.id(), nowNanos).pendingPromptTokens(),
+			.find(engines, tokens, slowdown(profile, nowNanos), queuedPromptTokens(nowNanos),
 					crossingMillis(profile, tokens, nowNanos), this.random);
 	}
 
+	// Returns how long an attempt on a path is expected to take from now on, before its
+	// own work is added, or empty for one without path or without expected cost.
+	OptionalDouble expectedMillis(RelayAttempt attempt, long nowNanos) {
+		String service = attempt.forwarding().upstream().service();
+		EngineProfile profile = this.profiles.get(service);
+		if (!this.expectedCost || profile == null || attempt.forwarding().path().isEmpty()) {
+			return OptionalDouble.empty();
+		}
+		double crossingMillis = profile.pipe().map((pipe) -> pipe.crossingMillis(attempt.tokens())).orElse(0.0);
+		return OptionalDouble.of(this.pathFinders.get(service)
+			.expectedMillis(attempt.forwarding().path().get(), attempt.tokens(), slowdown(profile, nowNanos),
+					queuedPromptTokens(nowNanos), crossingMillis));
+	}
+
+	private ToDoubleFunction<EngineInstance> slowdown(EngineProfile profile, long nowNanos) {
+		return (engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
+				* (1 + utilization(profile, engine, nowNanos) * SLOWDOWN_AT_FULL_UTILIZATION);
+	}
+
+	private ToDoubleFunction<EngineInstance> queuedPromptTokens(long nowNanos) {
+		return (engine) -> this.slowdowns.slowdown(engine.id(), nowNanos)
+				* work(engine.id(), nowNanos).pendingPromptTokens();
+	}
+
 	// Returns the time that a hop to another data centre adds.
 	private double crossingMillis(EngineProfile profile, RequestTokens tokens, long nowNanos) {
 		if (!this.expectedCost || !this.pipeBudget.hasRoom(this.daemonCount, nowNanos)) {
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/PathFinderTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/PathFinderTest.java
@@ -166,4 +166,21 @@
 		return path.stages().get(1).engine().id();
 	}
 
+	/**
+	 * Fails if the time that is compared with the real one leaves out the queue, the load
+	 * or the crossing of a path.
+	 */
+	@Test
+	void tellsExpectedTimeOfPath() {
+		EnginePath path = new EnginePath(List.of(
+				new PathStage(TestEngines.engineWithLayers("a", "large", "dc-0", 0, 40), new LayerRange(0, 40)),
+				new PathStage(TestEngines.engineWithLayers("b", "large", "dc-1", 40, 80), new LayerRange(40, 80))));
+		double idleMillis = this.finder.expectedMillis(path, TOKENS, (engine) -> 1, (engine) -> 0, 0);
+		assertThat(idleMillis).isWithin(1).of(210 * 1.02 * 2.4 + 774 / 164.0 * 3.2 + 2 * 211 * 0.3);
+		double queueMillis = 1640 / 164.0 * 3.2;
+		double loadedMillis = (idleMillis - 2 * 211 * 0.3) * 2 + 2 * 211 * 0.3;
+		assertThat(this.finder.expectedMillis(path, TOKENS, (engine) -> 2, (engine) -> 1640, 100)).isWithin(1)
+			.of(loadedMillis + queueMillis + 100);
+	}
+
 }
