Expect the usual output until streams have shown it, blame single engines

The configured mean now counts like 10 outputs of a route, the route like 40 outputs of a team. Four engines that shared their paths were taken for slow together and cleared by probes 3.2 s later; an engine is now blamed only if it is clearly slower than the others of its path. The log names the engine that rejected a request.

--- a/mulberrycross/src/main/java/org/mulberrycross/caller/LengthEstimator.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/LengthEstimator.java
@@ -26,11 +26,17 @@
 	/** Minimum weight of a new output in the mean, which forgets older ones. */
 	private static final double MIN_MEAN_WEIGHT = 0.02;
 
+	/**
+	 * Number of outputs at which the history of a route weighs as much as what is
+	 * configured. Early outputs are the short ones.
+	 */
+	private static final double ROUTE_HALF_WEIGHT = 10;
+
 	/**
 	 * Number of outputs at which the history of a team weighs as much as that of its
-	 * route.
+	 * route. Outputs of one team differ by a factor of ten.
 	 */
-	private static final double TEAM_HALF_WEIGHT = 8;
+	private static final double TEAM_HALF_WEIGHT = 40;
 
 	private final Map<HistoryKey, History> histories;
 
@@ -78,24 +84,28 @@
 	}
 
 	/**
-	 * Estimates the output length of a request. Teams with few outputs are estimated
-	 * mostly from all outputs of the route.
+	 * Estimates the output length of a request. With few outputs, teams are estimated
+	 * mostly from their route, and routes from what is configured or declared.
 	 * @param basis what is known before the request runs, not null
-	 * @return the estimate, at most the requested maximum if there is one; the hint and
-	 * the maximum, or 0 without them, if the route has no history
+	 * @return the estimate, at most the requested maximum if there is one; 0 if nothing
+	 * is known
 	 */
 	public OutputEstimate estimate(OutputBasis basis) {
 		double reference = reference(basis);
-		History route = this.histories.get(routeKey(basis));
-		if (route == null) {
-			double expected = (kind(basis) == BasisKind.NONE) ? 0 : reference;
-			return limited(basis, expected, Math.max(expected, basis.maxTokens()));
+		double declared = declared(basis);
+		History prior = new History(0, declared / reference, Math.max(declared, basis.maxTokens()) / reference);
+		History route = this.histories.getOrDefault(routeKey(basis), prior).mixedWith(prior, ROUTE_HALF_WEIGHT);
+		History team = this.histories.getOrDefault(teamKey(basis), route).mixedWith(route, TEAM_HALF_WEIGHT);
+		return limited(basis, reference * team.mean(), reference * Math.max(team.mean(), team.percentile()));
+	}
+
+	// Returns the output to expect without history: the hint, else the mean of the
+	// service, else the maximum.
+	private static double declared(OutputBasis basis) {
+		if (basis.hintTokens() > 0) {
+			return basis.hintTokens();
 		}
-		History team = this.histories.getOrDefault(teamKey(basis), route);
-		double weight = team.outputs() / (team.outputs() + TEAM_HALF_WEIGHT);
-		double mean = weight * team.mean() + (1 - weight) * route.mean();
-		double percentile = weight * team.percentile() + (1 - weight) * route.percentile();
-		return limited(basis, reference * mean, reference * Math.max(mean, percentile));
+		return (basis.usualTokens() > 0) ? basis.usualTokens() : basis.maxTokens();
 	}
 
 	/**
@@ -177,6 +187,15 @@
 	 */
 	private record History(long outputs, double mean, double percentile) {
 
+		// Returns the mean of this and a more general history, in which that one weighs
+		// as
+		// much as a number of outputs.
+		History mixedWith(History general, double outputsWeight) {
+			double weight = this.outputs / (this.outputs + outputsWeight);
+			return new History(this.outputs, weight * this.mean + (1 - weight) * general.mean,
+					weight * this.percentile + (1 - weight) * general.percentile);
+		}
+
 		History plus(double ratio, double minRatio) {
 			double meanWeight = Math.max(MIN_MEAN_WEIGHT, 1.0 / (this.outputs + 1));
 			double direction = (ratio > this.percentile) ? TARGET_QUANTILE : TARGET_QUANTILE - 1;
--- a/mulberrycross/src/main/java/org/mulberrycross/caller/OutputBasis.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/OutputBasis.java
@@ -9,8 +9,9 @@
  * @param route the name of the route or pipeline, not null
  * @param hintTokens the client's estimate of the output tokens, 0 if it sent none
  * @param maxTokens the maximum number of tokens to generate, 0 if unknown
+ * @param usualTokens the mean output of the service as configured, 0 if unknown
  */
-public record OutputBasis(String team, String route, int hintTokens, int maxTokens) {
+public record OutputBasis(String team, String route, int hintTokens, int maxTokens, double usualTokens) {
 
 	/**
 	 * Creates a basis.
@@ -18,6 +19,7 @@
 	 * @param route the name of the route or pipeline, not null
 	 * @param hintTokens the client's estimate of the output tokens, 0 if it sent none
 	 * @param maxTokens the maximum number of tokens to generate, 0 if unknown
+	 * @param usualTokens the mean output of the service as configured, 0 if unknown
 	 */
 	public OutputBasis {
 		Objects.requireNonNull(team, "team");
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineSpeeds.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineSpeeds.java
@@ -2,13 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 
 /**
  * Learns from the pace of streams which engines are slower than their kind. A stream on a
@@ -24,6 +25,9 @@
 	/** Lower factors are within the variation that load and prompts of others cause. */
 	private static final double MIN_SLOWDOWN = 2;
 
+	/** How much slower than the next engine of its path an engine must be. */
+	private static final double MIN_LEAD = 1.5;
+
 	/** Age from which a bound says nothing about the present. */
 	private static final Duration MAX_AGE = Duration.ofSeconds(2);
 
@@ -73,21 +77,34 @@
 	}
 
 	/**
-	 * Returns the factor by which an engine is slower than its kind, as its streams show.
-	 * @param engineId the id of the engine, not null
+	 * Returns the engine of a path that makes its streams slow. Nothing is said while
+	 * several engines of the path could be the cause, as those that always run together.
+	 * @param path the path, not null
 	 * @param nowNanos the time on the daemon's monotonic clock
-	 * @return the factor, 1 if the engine is not known to be slow
+	 * @return the engine and the factor by which it is slower than its kind, or empty if
+	 * none is known to be slow
 	 */
-	public double slowdown(String engineId, long nowNanos) {
+	public Optional<SlowEngine> slowEngine(EnginePath path, long nowNanos) {
+		List<SlowEngine> slowest = path.stages()
+			.stream()
+			.map((stage) -> new SlowEngine(stage.engine().id(), slowdown(stage.engine().id(), nowNanos)))
+			.sorted(Comparator.comparingDouble(SlowEngine::slowdown).reversed())
+			.limit(2)
+			.toList();
+		double first = slowest.get(0).slowdown();
+		double second = (slowest.size() > 1) ? slowest.get(1).slowdown() : 1;
+		return (first >= MIN_SLOWDOWN && first >= MIN_LEAD * second) ? Optional.of(slowest.get(0)) : Optional.empty();
+	}
+
+	// Returns the lowest recent bound of an engine, 1 without enough streams.
+	private double slowdown(String engineId, long nowNanos) {
 		Deque<Bound> bounds = this.boundsByEngine.get(engineId);
 		if (bounds == null) {
 			return 1;
 		}
 		bounds.removeIf((bound) -> nowNanos - bound.atNanos() > MAX_AGE.toNanos());
-		Set<String> streams = new HashSet<>();
-		bounds.forEach((bound) -> streams.add(bound.streamId()));
-		double lowest = bounds.stream().mapToDouble(Bound::slowdown).min().orElse(1);
-		return (streams.size() >= MIN_STREAMS && lowest >= MIN_SLOWDOWN) ? lowest : 1;
+		long streams = bounds.stream().map(Bound::streamId).distinct().count();
+		return (streams >= MIN_STREAMS) ? bounds.stream().mapToDouble(Bound::slowdown).min().orElse(1) : 1;
 	}
 
 	/**
@@ -122,6 +139,16 @@
 		values.addLast(value);
 	}
 
+	/**
+	 * An engine that is slower than its kind.
+	 *
+	 * @param id the id of the engine, not null
+	 * @param slowdown the factor by which it is slower
+	 */
+	public record SlowEngine(String id, double slowdown) {
+
+	}
+
 	/**
 	 * Highest factor that a stream permits for an engine.
 	 *
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -398,6 +398,7 @@
 			.flatMap((address) -> findFaultyEngine(attempt, address))
 			.orElse(attempt.forwarding().upstream().id());
 		attempt.exchange().failedUpstreams().add(id);
+		this.requestLog.logRejected(attempt.exchange(), id, reason);
 		if (attempt.forwarding().path().isPresent() && !upstreamHead.misdirected()
 				&& nowNanos - attempt.startedNanos() < MAX_SATURATION_REPLY_TIME.toNanos()) {
 			this.selector.recordNoRoom(attempt, id, nowNanos);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestCosts.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestCosts.java
@@ -32,7 +32,7 @@
 
 	// Returns the tokens to read and to write. What a resumed stream has written is read.
 	RequestTokens estimate(RelayExchange exchange, String service, EngineProfile profile) {
-		OutputEstimate output = this.lengths.estimate(basis(exchange));
+		OutputEstimate output = this.lengths.estimate(basis(exchange, profile));
 		double written = exchange.sentEvents() * tokensPerEvent(service, profile).orElse(0);
 		return new RequestTokens(exchange.call().promptTokens() + written, Math.max(0, output.expected() - written),
 				Math.max(0, output.high() - written));
@@ -51,7 +51,7 @@
 			return OptionalDouble.empty();
 		}
 		double tokens = events * tokensPerEvent.getAsDouble();
-		this.lengths.recordLength(basis(exchange), tokens);
+		this.lengths.recordLength(basis(exchange, profile), tokens);
 		return OptionalDouble.of(tokens);
 	}
 
@@ -61,9 +61,9 @@
 				? OptionalDouble.of(profile.meanOutputTokens() / counts.mean()) : OptionalDouble.empty();
 	}
 
-	private static OutputBasis basis(RelayExchange exchange) {
+	private static OutputBasis basis(RelayExchange exchange, EngineProfile profile) {
 		return new OutputBasis(exchange.team().orElse(""), exchange.rule().name(), exchange.call().outputHintTokens(),
-				exchange.call().maxOutputTokens());
+				exchange.call().maxOutputTokens(), profile.meanOutputTokens());
 	}
 
 	/** Number of complete streams and the running mean of their events. */
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -64,6 +64,13 @@
 			.log("attempt failed");
 	}
 
+	void logRejected(RelayExchange exchange, String upstreamId, String reason) {
+		nextLine().addKeyValue("request", exchange.call().id())
+			.addKeyValue("upstream", upstreamId)
+			.addKeyValue("reason", reason)
+			.log("upstream rejected request");
+	}
+
 	void logRetry(RelayExchange exchange, String reason) {
 		nextLine().addKeyValue("request", exchange.call().id())
 			.addKeyValue("reason", reason)
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/StreamPaces.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/StreamPaces.java
@@ -8,7 +8,6 @@
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.EngineProfile;
 import org.mulberrycross.engine.EngineSpeeds;
-import org.mulberrycross.engine.PathStage;
 
 /**
  * Measures the pace of the streams in flight, so that slow engines are noticed without
@@ -69,12 +68,9 @@
 		double millis = (current.atNanos() - previous.atNanos()) / (double) Duration.ofMillis(1).toNanos();
 		this.speeds.record(attempt.exchange().call().id(), path, profile,
 				millis / (current.events() - previous.events()), nowNanos);
-		path.stages().stream().map(PathStage::engine).forEach((engine) -> {
-			double slowdown = this.speeds.slowdown(engine.id(), nowNanos);
-			if (slowdown > this.slowdowns.slowdown(engine.id(), nowNanos)) {
-				this.slowdowns.record(engine.id(), slowdown, nowNanos);
-			}
-		});
+		this.speeds.slowEngine(path, nowNanos)
+			.filter((slow) -> slow.slowdown() > this.slowdowns.slowdown(slow.id(), nowNanos))
+			.ifPresent((slow) -> this.slowdowns.record(slow.id(), slow.slowdown(), nowNanos));
 	}
 
 	/** The events of a stream so far, and when the last of them arrived. */
