Count what long streams hold, eject engines without room as before

A stream that wrote more than expected held its first estimate to its end; its share in the load of its engines now grows with it, in steps of 250 ms. The first streams that a restarted daemon sees complete are the short ones, so the tokens of an event came out too high; streams that reach their maximum now bound them. Sound engines under load were taken for slow with factors up to 3.8; nothing is said below 4 now.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EngineSpeeds.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EngineSpeeds.java
@@ -22,8 +22,11 @@
  */
 public final class EngineSpeeds {
 
-	/** Lower factors are within the variation that load and prompts of others cause. */
-	private static final double MIN_SLOWDOWN = 2;
+	/**
+	 * Lower factors are within the variation that load and prompts of others cause: on a
+	 * loaded fleet, sound engines showed factors up to 3.8.
+	 */
+	private static final double MIN_SLOWDOWN = 4;
 
 	/** How much slower than the next engine of its path an engine must be. */
 	private static final double MIN_LEAD = 1.5;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -35,6 +35,10 @@
 
 	private final RequestTokens tokens;
 
+	private RequestTokens heldTokens;
+
+	private final long eventsBefore;
+
 	private final long startedNanos = System.nanoTime();
 
 	private final ResponseBuffers.ResponseBuffer body;
@@ -70,6 +74,8 @@
 		this.messageFormat = messageFormat;
 		this.listener = listener;
 		this.tokens = tokens;
+		this.heldTokens = tokens;
+		this.eventsBefore = exchange.sentEvents();
 		this.body = buffers.open();
 	}
 
@@ -85,6 +91,21 @@
 		return this.tokens;
 	}
 
+	// Returns the tokens by which the attempt counts in the load of its upstreams.
+	RequestTokens heldTokens() {
+		return this.heldTokens;
+	}
+
+	// Replaces the tokens held, once the output is longer than expected.
+	void setHeldTokens(RequestTokens revised) {
+		this.heldTokens = revised;
+	}
+
+	// Returns how many events earlier attempts had sent to the client.
+	long eventsBefore() {
+		return this.eventsBefore;
+	}
+
 	// Returns the ids of all upstreams that take part: the engines of the path, or the
 	// single instance.
 	List<String> upstreamIds() {
@@ -101,6 +122,10 @@
 		return first;
 	}
 
+	boolean isReleased() {
+		return this.released;
+	}
+
 	// Returns true on the first call only, so that the prefill is counted once.
 	boolean markPrefillDone() {
 		boolean first = !this.prefillDone;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -537,8 +537,9 @@
 			}
 		}
 		this.attemptMonitor.check(nowNanos);
-		if (this.expectedCost) {
-			this.streamPaces.sample(this.inFlight.snapshot(), this.selector.profiles(), nowNanos);
+		if (this.expectedCost
+				&& this.streamPaces.sample(this.inFlight.snapshot(), this.selector.profiles(), nowNanos)) {
+			this.selector.reviseLoad(this.inFlight.snapshot());
 		}
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestCosts.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestCosts.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.mulberrycross.caller.LengthEstimator;
@@ -13,7 +14,8 @@
 /**
  * Estimates the tokens of requests from the streams that were complete. Streams show
  * events, not tokens; the tokens of an event follow from the mean output of the service
- * and the mean number of events. Confined to the control thread; not thread-safe.
+ * and the mean number of events, and from the streams that end at their maximum. Confined
+ * to the control thread; not thread-safe.
  */
 final class RequestCosts {
 
@@ -26,6 +28,9 @@
 	/** Minimum weight of a new stream in the mean number of events. */
 	private static final double MIN_WEIGHT = 0.01;
 
+	/** Expected output of a stream that exceeds its estimate, by what it has written. */
+	private static final double OVERRUN_FACTOR = 1.25;
+
 	private final LengthEstimator lengths = new LengthEstimator(MAX_HISTORIES);
 
 	private final Map<String, EventCounts> eventsByService = new HashMap<>();
@@ -38,6 +43,21 @@
 				Math.max(0, output.high() - written));
 	}
 
+	// Returns the tokens of an attempt whose output has become longer than expected,
+	// empty
+	// if it has not. An output that is past its mean is likely to go on for long.
+	Optional<RequestTokens> revise(RelayAttempt attempt, EngineProfile profile) {
+		RequestTokens expected = attempt.heldTokens();
+		String service = attempt.forwarding().upstream().service();
+		double written = (attempt.exchange().sentEvents() - attempt.eventsBefore())
+				* tokensPerEvent(service, profile).orElse(0);
+		if (written <= expected.output()) {
+			return Optional.empty();
+		}
+		double output = written * OVERRUN_FACTOR;
+		return Optional.of(new RequestTokens(expected.prompt(), output, Math.max(output, expected.highOutput())));
+	}
+
 	// Records the length of a complete stream. Returns the tokens that it has written,
 	// empty if they cannot be told.
 	OptionalDouble recordCompleted(RelayExchange exchange, String service, EngineProfile profile) {
@@ -45,7 +65,10 @@
 		if (events == 0 || exchange.call().lastEventId().isPresent()) {
 			return OptionalDouble.empty();
 		}
-		this.eventsByService.merge(service, new EventCounts(1, events), (counts, first) -> counts.plus(events));
+		double maxTokens = exchange.call().maxOutputTokens();
+		EventCounts stream = new EventCounts(1, events,
+				(maxTokens > 0) ? maxTokens / events : Double.POSITIVE_INFINITY);
+		this.eventsByService.merge(service, stream, EventCounts::plus);
 		OptionalDouble tokensPerEvent = tokensPerEvent(service, profile);
 		if (tokensPerEvent.isEmpty()) {
 			return OptionalDouble.empty();
@@ -57,8 +80,9 @@
 
 	private OptionalDouble tokensPerEvent(String service, EngineProfile profile) {
 		EventCounts counts = this.eventsByService.get(service);
-		return (counts != null && counts.streams() >= MIN_STREAMS && counts.mean() > 0)
-				? OptionalDouble.of(profile.meanOutputTokens() / counts.mean()) : OptionalDouble.empty();
+		return (counts != null && counts.streams() >= MIN_STREAMS)
+				? OptionalDouble.of(Math.min(counts.maxTokensPerEvent(), profile.meanOutputTokens() / counts.mean()))
+				: OptionalDouble.empty();
 	}
 
 	private static OutputBasis basis(RelayExchange exchange, EngineProfile profile) {
@@ -66,12 +90,20 @@
 				exchange.call().maxOutputTokens(), profile.meanOutputTokens());
 	}
 
-	/** Number of complete streams and the running mean of their events. */
-	private record EventCounts(long streams, double mean) {
-
-		EventCounts plus(long events) {
+	/**
+	 * Events of complete streams.
+	 *
+	 * @param streams the number of streams
+	 * @param mean the running mean of their events
+	 * @param maxTokensPerEvent the highest number of tokens of an event with which no
+	 * stream has exceeded its maximum output
+	 */
+	private record EventCounts(long streams, double mean, double maxTokensPerEvent) {
+
+		EventCounts plus(EventCounts stream) {
 			double weight = Math.max(MIN_WEIGHT, 1.0 / (this.streams + 1));
-			return new EventCounts(this.streams + 1, this.mean + weight * (events - this.mean));
+			return new EventCounts(this.streams + 1, this.mean + weight * (stream.mean - this.mean),
+					Math.min(this.maxTokensPerEvent, stream.maxTokensPerEvent));
 		}
 
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/StreamPaces.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/StreamPaces.java
@@ -35,10 +35,10 @@
 		this.slowdowns = slowdowns;
 	}
 
-	// Measures the streams in flight, if it is time to.
-	void sample(List<RelayExchange> exchanges, Map<String, EngineProfile> profiles, long nowNanos) {
+	// Measures the streams in flight, if it is time to, and returns whether it was.
+	boolean sample(List<RelayExchange> exchanges, Map<String, EngineProfile> profiles, long nowNanos) {
 		if (this.started && nowNanos - this.nextNanos < 0) {
-			return;
+			return false;
 		}
 		this.started = true;
 		this.nextNanos = nowNanos + PERIOD.toNanos();
@@ -56,6 +56,7 @@
 				.ifPresent((path) -> sample(attempt, path, profile, nowNanos));
 		}
 		this.speeds.removeExpired(nowNanos);
+		return true;
 	}
 
 	private void sample(RelayAttempt attempt, EnginePath path, EngineProfile profile, long nowNanos) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLoad.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLoad.java
@@ -26,6 +26,11 @@
 				work.tokens(), work.pendingPromptTokens() - tokens.prompt())));
 	}
 
+	// Adds tokens that a request holds beyond those that were expected.
+	void addTokens(List<String> ids, double tokens) {
+		ids.forEach((id) -> this.workById.computeIfPresent(id, (key, work) -> work.plus(new EngineWork(0, tokens, 0))));
+	}
+
 	void remove(List<String> ids, RequestTokens tokens) {
 		ids.forEach((id) -> this.workById.computeIfPresent(id, (key, work) -> (work.requests() <= 1) ? null
 				: new EngineWork(work.requests() - 1, work.tokens() - tokens.total(), work.pendingPromptTokens())));
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -274,14 +274,17 @@
 		}
 	}
 
-	// Records that an engine had no room for an attempt. It is avoided in proportion to
-	// what the estimate of its work lacked.
+	// Records that an engine had no room for an attempt. It is ejected for a moment,
+	// since
+	// a dead engine looks the same, and then avoided in proportion to what the estimate
+	// of
+	// its work lacked.
 	void recordNoRoom(RelayAttempt attempt, String id, long nowNanos) {
 		Optional<EngineProfile> profile = Optional
 			.ofNullable(this.profiles.get(attempt.forwarding().upstream().service()));
 		Optional<EngineInstance> engine = this.directory.find(id).flatMap(DirectoryEntry::engine);
+		this.health.recordSaturation(id, nowNanos);
 		if (!this.expectedCost || profile.isEmpty() || engine.isEmpty()) {
-			this.health.recordSaturation(id, nowNanos);
 			return;
 		}
 		double estimatedTokens = this.outstandingWork.at(id, this.load.at(id), nowNanos).tokens();
@@ -307,6 +310,22 @@
 		return this.profiles;
 	}
 
+	// Adds what attempts that write more than expected hold beyond their estimates.
+	void reviseLoad(List<RelayExchange> exchanges) {
+		for (RelayExchange exchange : exchanges) {
+			RelayAttempt attempt = exchange.currentAttempt();
+			if (attempt == null || attempt.isReleased() || attempt.forwarding().path().isEmpty()) {
+				continue;
+			}
+			Optional.ofNullable(this.profiles.get(attempt.forwarding().upstream().service()))
+				.flatMap((profile) -> this.costs.revise(attempt, profile))
+				.ifPresent((revised) -> {
+					this.load.addTokens(attempt.upstreamIds(), revised.total() - attempt.heldTokens().total());
+					attempt.setHeldTokens(revised);
+				});
+		}
+	}
+
 	// Subtracts the attempt's prompt from its upstreams' pending prefill, at most once.
 	void recordPrefillDone(RelayAttempt attempt) {
 		if (attempt.markPrefillDone()) {
@@ -318,7 +337,7 @@
 	void releaseLoad(RelayAttempt attempt) {
 		if (attempt.markReleased()) {
 			recordPrefillDone(attempt);
-			this.load.remove(attempt.upstreamIds(), attempt.tokens());
+			this.load.remove(attempt.upstreamIds(), attempt.heldTokens());
 		}
 	}
 
