--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.RequestTokens;
@@ -35,6 +36,10 @@
 
 	private final RequestTokens tokens;
 
+	private RequestTokens heldTokens;
+
+	private final long eventsBefore;
+
 	private final long startedNanos = System.nanoTime();
 
 	private final ResponseBuffers.ResponseBuffer body;
@@ -61,6 +66,8 @@
 
 	private Map<String, Integer> crashCounts = Map.of();
 
+	private OptionalDouble expectedMillis = OptionalDouble.empty();
+
 	private volatile boolean begun;
 
 	RelayAttempt(RelayExchange exchange, Forwarding forwarding, MessageFormat messageFormat, AttemptListener listener,
@@ -70,6 +77,8 @@
 		this.messageFormat = messageFormat;
 		this.listener = listener;
 		this.tokens = tokens;
+		this.heldTokens = tokens;
+		this.eventsBefore = exchange.sentEvents();
 		this.body = buffers.open();
 	}
 
@@ -85,6 +94,21 @@
 		return this.tokens;
 	}
 
+	// Returns the tokens by which the attempt counts in the load of its upstreams.
+	RequestTokens heldTokens() {
+		return this.heldTokens;
+	}
+
+	// Replaces the tokens held, once the output is longer than expected.
+	void setHeldTokens(RequestTokens revised) {
+		this.heldTokens = revised;
+	}
+
+	// Returns how many events earlier attempts had sent to the client.
+	long eventsBefore() {
+		return this.eventsBefore;
+	}
+
 	// Returns the ids of all upstreams that take part: the engines of the path, or the
 	// single instance.
 	List<String> upstreamIds() {
@@ -101,6 +125,10 @@
 		return first;
 	}
 
+	boolean isReleased() {
+		return this.released;
+	}
+
 	// Returns true on the first call only, so that the prefill is counted once.
 	boolean markPrefillDone() {
 		boolean first = !this.prefillDone;
@@ -118,6 +146,15 @@
 		this.crashCounts = counts;
 	}
 
+	// Returns how long this attempt was expected to take, empty if unknown.
+	OptionalDouble expectedMillis() {
+		return this.expectedMillis;
+	}
+
+	void setExpectedMillis(OptionalDouble millis) {
+		this.expectedMillis = millis;
+	}
+
 	void attach(RelayCall startedCall) {
 		this.call = startedCall;
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -113,6 +113,10 @@
 
 	private final CrashTracker crashTracker;
 
+	private final StreamPaces streamPaces = new StreamPaces(this.slowdowns);
+
+	private boolean expectedCost;
+
 	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
 
 	private final FleetLoad fleetLoad = new FleetLoad(DEFAULT_DAEMON_COUNT);
@@ -129,6 +133,8 @@
 		this.admission = new RequestAdmission(settings, clock);
 		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
 				this.fleetLoad);
+		this.expectedCost = settings.features().expectedCost();
+		this.selector.useExpectedCost(this.expectedCost);
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
@@ -192,6 +198,8 @@
 			this.admission.reload(changed);
 			this.retryBudgets.reload(changed);
 			this.earlyMoves.reload(changed);
+			this.expectedCost = changed.features().expectedCost();
+			this.selector.useExpectedCost(this.expectedCost);
 		});
 	}
 
@@ -206,6 +214,7 @@
 		this.controlThread.assertOnControlThread();
 		this.fleetLoad.updateDaemonCount(Math.max(1, count));
 		this.retryBudgets.updateDaemonCount(Math.max(1, count));
+		this.selector.updateDaemonCount(Math.max(1, count));
 	}
 
 	void markDirectoryListed() {
@@ -318,10 +327,11 @@
 			return false;
 		}
 		RelayAttempt attempt = new RelayAttempt(exchange, forwarding.get(), this.messageFormat, this,
-				UpstreamSelector.requestTokens(exchange), this.responseBuffers);
+				this.selector.requestTokens(exchange, forwarding.get().upstream().service()), this.responseBuffers);
 		attempt.setCrashCounts(this.crashTracker.crashCounts(exchange));
 		exchange.startAttempt(attempt);
 		exchange.addExecutions(1);
+		attempt.setExpectedMillis(this.selector.expectedMillis(attempt, nowNanos));
 		this.selector.recordSent(attempt);
 		this.requestLog.logSent(exchange, attempt);
 		attempt.attach(this.client.send(forwarding.get().upstream().address(),
@@ -360,6 +370,8 @@
 			}
 			attempt.upstreamIds().forEach(this.health::recordSuccess);
 			this.crashTracker.recordBegun(attempt, this.clock.nanos());
+			this.metrics.recordCalibration(attempt, this.selector.recordCompleted(attempt, this.clock.nanos()),
+					this.clock.nanos());
 			this.inFlight.finish(exchange, "complete");
 		});
 	}
@@ -410,9 +422,10 @@
 			.flatMap((address) -> findFaultyEngine(attempt, address))
 			.orElse(attempt.forwarding().upstream().id());
 		attempt.exchange().failedUpstreams().add(id);
+		this.requestLog.logRejected(attempt.exchange(), id, reason);
 		if (attempt.forwarding().path().isPresent() && !upstreamHead.misdirected()
 				&& nowNanos - attempt.startedNanos() < MAX_SATURATION_REPLY_TIME.toNanos()) {
-			this.health.recordSaturation(id, nowNanos);
+			this.selector.recordNoRoom(attempt, id, nowNanos);
 			return;
 		}
 		this.health.recordFailure(id, reason, nowNanos);
@@ -549,6 +562,10 @@
 			}
 		}
 		this.attemptMonitor.check(nowNanos);
+		if (this.expectedCost
+				&& this.streamPaces.sample(this.inFlight.snapshot(), this.selector.profiles(), nowNanos)) {
+			this.selector.reviseLoad(this.inFlight.snapshot());
+		}
 	}
 
 	// Returns whether a stream may be moved while others that were moved have no event
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayFeatures.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayFeatures.java
@@ -8,16 +8,19 @@
  *
  * @param siblings the settings for messages between daemons, not null
  * @param earlyMoves whether silent streams are moved before their pause is too long
+ * @param expectedCost whether requests are routed by their expected cost, learned from
+ * earlier ones
  */
-public record RelayFeatures(SiblingSettings siblings, boolean earlyMoves) {
+public record RelayFeatures(SiblingSettings siblings, boolean earlyMoves, boolean expectedCost) {
 
 	/** No optional part. */
-	public static final RelayFeatures NONE = new RelayFeatures(SiblingSettings.NONE, false);
+	public static final RelayFeatures NONE = new RelayFeatures(SiblingSettings.NONE, false, false);
 
 	/**
 	 * Creates a selection of parts.
 	 * @param siblings the settings for messages between daemons, not null
 	 * @param earlyMoves whether silent streams are moved early
+	 * @param expectedCost whether requests are routed by their expected cost
 	 */
 	public RelayFeatures {
 		Objects.requireNonNull(siblings, "siblings");
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
@@ -2,6 +2,10 @@
 
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.OptionalDouble;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.DefaultSettableGauge;
@@ -14,6 +18,14 @@
  */
 final class RelayMetrics {
 
+	/**
+	 * Upper limits of the buckets for real by expected values, with their names.
+	 */
+	private static final NavigableMap<Double, String> RATIO_BUCKETS = new TreeMap<>(Map.of(0.25, "to_25", 0.5, "to_50",
+			0.8, "to_80", 0.95, "to_95", 1.05, "to_105", 1.25, "to_125", 2.0, "to_200", 4.0, "to_400"));
+
+	private static final String HIGHEST_RATIO_BUCKET = "over_400";
+
 	private final MetricRegistry registry;
 
 	private final DefaultSettableGauge<Integer> daemonsCovered = new DefaultSettableGauge<>(1);
@@ -62,6 +74,20 @@
 		this.registry.counter("streams.after_loss." + (late ? "late" : "on_time")).inc();
 	}
 
+	// Counts a complete attempt by its real output and time relative to the expected
+	// ones, in hundredths.
+	void recordCalibration(RelayAttempt attempt, OptionalDouble outputRatio, long nowNanos) {
+		outputRatio.ifPresent((ratio) -> countRatio("output.real_by_expected.", ratio));
+		double millis = (nowNanos - attempt.startedNanos()) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+		attempt.expectedMillis()
+			.ifPresent((expected) -> countRatio("time.real_by_expected.", millis / Math.max(1, expected)));
+	}
+
+	private void countRatio(String prefix, double ratio) {
+		Map.Entry<Double, String> bucket = RATIO_BUCKETS.ceilingEntry(ratio);
+		this.registry.counter(prefix + ((bucket != null) ? bucket.getValue() : HIGHEST_RATIO_BUCKET)).inc();
+	}
+
 	// Records the duration of a request. The outcome up to its first colon becomes the
 	// name of the metric.
 	void recordEnd(String outcome, Duration duration) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestLog.java
@@ -44,6 +44,9 @@
 			.addKeyValue("try", exchange.attempts())
 			.addKeyValue("upstream", attempt.upstreamIds())
 			.addKeyValue("age_ms", exchange.age(this.clock.nanos()).toMillis())
+			.addKeyValue("max_output", exchange.call().maxOutputTokens())
+			.addKeyValue("expected_output", Math.round(attempt.tokens().output()))
+			.addKeyValue("expected_ms", Math.round(attempt.expectedMillis().orElse(-1)))
 			.addKeyValue("parts", exchange.call().sharedPromptParts())
 			.log("request sent to upstream");
 	}
@@ -87,6 +90,13 @@
 		return Duration.ofNanos((long) nanos).toMillis();
 	}
 
+	void logRejected(RelayExchange exchange, String upstreamId, String reason) {
+		nextLine().addKeyValue("request", exchange.call().id())
+			.addKeyValue("upstream", upstreamId)
+			.addKeyValue("reason", reason)
+			.log("upstream rejected request");
+	}
+
 	void logRetry(RelayExchange exchange, String reason) {
 		nextLine().addKeyValue("request", exchange.call().id())
 			.addKeyValue("reason", reason)
@@ -114,6 +124,7 @@
 			.addKeyValue("upstream", (attempt != null) ? attempt.forwarding().upstream().id() : "")
 			.addKeyValue("framing", (attempt != null) ? framingText(attempt) : "")
 			.addKeyValue("last_event", exchange.lastEventId().orElse(-1))
+			.addKeyValue("events", exchange.sentEvents())
 			.addKeyValue("outcome", outcome)
 			.log("request ended");
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/PathFinderTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/PathFinderTest.java
@@ -144,4 +144,43 @@
 			.isEqualTo(Optional.empty());
 	}
 
+	/**
+	 * Fails if a path through loaded engines is preferred to one that crosses a link with
+	 * room, or if it crosses a link without room.
+	 */
+	@Test
+	void crossesLinkOnlyIfThatIsFaster() {
+		List<EngineInstance> engines = List.of(TestEngines.engineWithLayers("first", "slow", "dc-0", 0, 40),
+				TestEngines.engineWithLayers("loaded", "slow", "dc-0", 40, 80),
+				TestEngines.engineWithLayers("far", "slow", "dc-1", 40, 80));
+		assertThat(lastEngine(engines, 100)).isEqualTo("far");
+		assertThat(lastEngine(engines, PathFinder.CROSS_DATA_CENTRE_PENALTY_MILLIS)).isEqualTo("loaded");
+	}
+
+	private String lastEngine(List<EngineInstance> engines, double crossingMillis) {
+		EnginePath path = this.finder
+			.find(engines, TOKENS, (engine) -> engine.id().equals("loaded") ? 4 : 1, (engine) -> 0, crossingMillis,
+					() -> 0)
+			.orElseThrow();
+		assertThat(path.crossings()).isEqualTo(path.stages().get(1).engine().id().equals("far") ? 1 : 0);
+		return path.stages().get(1).engine().id();
+	}
+
+	/**
+	 * Fails if the time that is compared with the real one leaves out the queue, the load
+	 * or the crossing of a path.
+	 */
+	@Test
+	void tellsExpectedTimeOfPath() {
+		EnginePath path = new EnginePath(List.of(
+				new PathStage(TestEngines.engineWithLayers("a", "large", "dc-0", 0, 40), new LayerRange(0, 40)),
+				new PathStage(TestEngines.engineWithLayers("b", "large", "dc-1", 40, 80), new LayerRange(40, 80))));
+		double idleMillis = this.finder.expectedMillis(path, TOKENS, (engine) -> 1, (engine) -> 0, 0);
+		assertThat(idleMillis).isWithin(1).of(210 * 1.02 * 2.4 + 774 / 164.0 * 3.2 + 2 * 211 * 0.3);
+		double queueMillis = 1640 / 164.0 * 3.2;
+		double loadedMillis = (idleMillis - 2 * 211 * 0.3) * 2 + 2 * 211 * 0.3;
+		assertThat(this.finder.expectedMillis(path, TOKENS, (engine) -> 2, (engine) -> 1640, 100)).isWithin(1)
+			.of(loadedMillis + queueMillis + 100);
+	}
+
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -87,7 +87,8 @@
 		RelaySettings settings = new RelaySettings("router-1", "dc", new Address("127.0.0.1", 1),
 				new Address("127.0.0.1", 2), new Address("127.0.0.1", 3), Duration.ofSeconds(5),
 				new PropagationLimits(Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(3)),
-				Duration.ofSeconds(8), 1, 10, Duration.ofSeconds(10), new RelayFeatures(SiblingSettings.NONE, enabled));
+				Duration.ofSeconds(8), 1, 10, Duration.ofSeconds(10),
+				new RelayFeatures(SiblingSettings.NONE, enabled, false));
 		return new EarlyMoves(settings, this.inFlight, this.selector, this.health, (service) -> Optional.of(PROFILE),
 				(exchange, movesUnderWay) -> this.retryLeft,
 				(attempt, faultyIds, reason, mayHaveExecuted) -> this.moved.add(attempt), this.metrics,
