Tell engines the rank of each request

Engines admit requests of a more urgent rank first, but no request carried one, so that all had the rank that engines assume and a burst of the least urgent kind was served before others. With admission.forward_priority the daemon sends the priority of the team or, for teams without one, that of the route.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Forwarding.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Forwarding.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 import org.mulberrycross.UpstreamInstance;
@@ -16,9 +17,11 @@
  * @param team the team of the client's API key, or empty, not null
  * @param path the engines that execute it, or empty for a plain service, not null
  * @param lastEventId the event id after which a stream resumes, or empty, not null
+ * @param priority the rank of the request at the upstream, 0 for the most urgent, or
+ * empty to leave it to the upstream, not null
  */
 public record Forwarding(UpstreamInstance upstream, Duration remaining, Optional<String> team,
-		Optional<EnginePath> path, OptionalLong lastEventId) {
+		Optional<EnginePath> path, OptionalLong lastEventId, OptionalInt priority) {
 
 	/**
 	 * Creates a forwarding.
@@ -27,6 +30,7 @@
 	 * @param team the team of the client's API key, or empty, not null
 	 * @param path the engines that execute the request, or empty, not null
 	 * @param lastEventId the event id after which a stream resumes, or empty, not null
+	 * @param priority the rank of the request, or empty, not null
 	 */
 	public Forwarding {
 		Objects.requireNonNull(upstream, "upstream");
@@ -34,6 +38,30 @@
 		Objects.requireNonNull(team, "team");
 		Objects.requireNonNull(path, "path");
 		Objects.requireNonNull(lastEventId, "lastEventId");
+		Objects.requireNonNull(priority, "priority");
+	}
+
+	/**
+	 * Creates a forwarding that leaves the rank of the request to the upstream.
+	 * @param upstream the instance that the request is sent to, not null
+	 * @param remaining the time until the deadline, not null
+	 * @param team the team of the client's API key, or empty, not null
+	 * @param path the engines that execute the request, or empty, not null
+	 * @param lastEventId the event id after which a stream resumes, or empty, not null
+	 */
+	public Forwarding(UpstreamInstance upstream, Duration remaining, Optional<String> team, Optional<EnginePath> path,
+			OptionalLong lastEventId) {
+		this(upstream, remaining, team, path, lastEventId, OptionalInt.empty());
+	}
+
+	/**
+	 * Returns the same forwarding with a rank.
+	 * @param rank the rank, 0 for the most urgent
+	 * @return the forwarding
+	 */
+	public Forwarding withPriority(int rank) {
+		return new Forwarding(this.upstream, this.remaining, this.team, this.path, this.lastEventId,
+				OptionalInt.of(rank));
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -106,6 +106,8 @@
 
 	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
 
+	private WaitingSettings waitingSettings;
+
 	private int daemonCount = DEFAULT_DAEMON_COUNT;
 
 	RelayControl(ControlThread controlThread, MonotonicClock clock, RandomGenerator random, RelaySettings settings,
@@ -117,6 +119,7 @@
 		this.client = Objects.requireNonNull(client, "client");
 		Objects.requireNonNull(engineProber, "engineProber");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
+		this.waitingSettings = settings.waiting();
 		this.admission = new RequestAdmission(settings, clock);
 		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
 				(engineId, own, nowNanos) -> own.times(this.daemonCount));
@@ -168,6 +171,7 @@
 		this.controlThread.post(() -> {
 			this.admission.reload(changed);
 			this.retryBudgets.reload(changed);
+			this.waitingSettings = changed.waiting();
 		});
 	}
 
@@ -289,7 +293,9 @@
 		if (remaining.compareTo(MIN_REMAINING_TIME) < 0) {
 			return false;
 		}
-		Optional<Forwarding> forwarding = this.selector.select(exchange, remaining, nowNanos);
+		Optional<Forwarding> forwarding = this.selector.select(exchange, remaining, nowNanos)
+			.map((chosen) -> this.waitingSettings.forwardPriority() ? chosen.withPriority(exchange.priority())
+					: chosen);
 		if (forwarding.isEmpty()) {
 			return false;
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -45,6 +45,8 @@
 
 	private Optional<String> team = Optional.empty();
 
+	private int priority;
+
 	private int attempts;
 
 	private int executions;
@@ -109,9 +111,19 @@
 		return this.team;
 	}
 
+	// Returns the rank of the request, 0 for the most urgent.
+	int priority() {
+		return this.priority;
+	}
+
 	void admit(RouteRule matchedRule, Optional<String> requestTeam) {
+		admit(matchedRule, requestTeam, matchedRule.priority());
+	}
+
+	void admit(RouteRule matchedRule, Optional<String> requestTeam, int requestPriority) {
 		this.rule = matchedRule;
 		this.team = requestTeam;
+		this.priority = requestPriority;
 	}
 
 	boolean isStream() {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
@@ -35,6 +35,8 @@
 
 	private static final double MAX_RETRY_WINDOW_SECONDS = 3600;
 
+	private static final int MAX_MAX_WAITING = 100_000;
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private RelaySettingsReader() {
@@ -68,10 +70,13 @@
 		double retryBurst = file.decimal("bounds.retry_burst", DEFAULT_RETRY_BURST, 0, MAX_RETRY_BURST);
 		double retryWindow = file.decimal("bounds.retry_window_s", DEFAULT_RETRY_WINDOW_SECONDS, 1,
 				MAX_RETRY_WINDOW_SECONDS);
+		WaitingSettings waiting = new WaitingSettings(file.flag("admission.queue", false),
+				file.flag("admission.forward_priority", false),
+				file.integer("admission.max_waiting", WaitingSettings.DEFAULT_MAX_WAITING, 1, MAX_MAX_WAITING));
 		file.throwIfInvalid();
 		return new RelaySettings(name.orElseThrow(), dataCentre.orElseThrow(), callerAddress.orElseThrow(),
 				readinessAddress.orElseThrow(), platformAddress.orElseThrow(), revocationLimit, propagationLimits,
-				secondsToDuration(shutdownGrace), retryRatio, retryBurst, secondsToDuration(retryWindow));
+				secondsToDuration(shutdownGrace), retryRatio, retryBurst, secondsToDuration(retryWindow), waiting);
 	}
 
 	private static Duration secondsToDuration(double seconds) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -140,7 +140,8 @@
 		if (team.isEmpty()) {
 			return Optional.of(LocalResponse.of(401, "unknown key"));
 		}
-		exchange.admit(rule.get(), team);
+		int priority = current.prioritiesByTeam().getOrDefault(team.get(), rule.get().priority());
+		exchange.admit(rule.get(), team, priority);
 		return Optional.empty();
 	}
 
