Split the waiting queue and the service rate out of Admission

The stepwise router alone could queue requests by rank and team, since its admission kept the queues, deadlines and service times to itself. AdmissionTest passes unchanged.

--- a/mulberrycross/src/main/java/org/mulberrycross/caller/Admission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/Admission.java
@@ -2,14 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.PriorityQueue;
 
 /**
  * Admission control for completion requests: decides when each request starts and which
@@ -66,9 +64,6 @@
 
 	private final Map<String, Integer> runningByTeam = new HashMap<>();
 
-	private final PriorityQueue<Entry> entriesByDeadline = new PriorityQueue<>(
-			Comparator.comparingLong((Entry entry) -> entry.request.deadlineNanos()));
-
 	/**
 	 * Creates an admission control without requests.
 	 * @param settings the limits and shares, not null
@@ -95,9 +90,9 @@
 				&& estimatedTokens >= this.inputs.longTokens().applyAsInt(request.pipeline());
 		Entry entry = new Entry(request, pipelineState(request), estimatedTokens,
 				isLong ? WorkClass.LONG : WorkClass.SHORT);
-		entry.queue().add(queueName(request), teamWeight(request), entry);
+		entry.ticket = entry.queue()
+			.add(entry.rank(), queueName(request), teamWeight(request), request.deadlineNanos(), entry);
 		this.queued.put(request.id(), entry);
-		this.entriesByDeadline.add(entry);
 		List<AdmissionAction> actions = new ArrayList<>();
 		dispatch(now, actions);
 		if (this.queued.containsKey(request.id())) {
@@ -122,16 +117,13 @@
 		String team = entry.request.team();
 		this.runningByTeam.merge(team, -1, (count, delta) -> (count > 1) ? Integer.valueOf(count - 1) : null);
 		releaseTeamSlot(entry);
-		entry.pipelineState.serviceTime(entry.workClass).add(now - entry.startNanos);
-		entry.pipelineState.adjustRunning(entry.workClass, -1);
-		entry.queue().charge(queueName(entry.request), tokens - entry.estimatedTokens);
+		entry.pipelineState.rate(entry.workClass).recordServiceTime(now - entry.startNanos);
+		entry.pipelineState.rate(entry.workClass).adjustRunning(-1);
+		entry.queue().charge(entry.ticket, tokens - entry.estimatedTokens);
 		if (complete) {
 			this.estimator.recordLength(entry.request, tokens);
 		}
-		for (PipelineState state : this.pipelineStates.values()) {
-			state.shortQueue.unblock(team);
-			state.longQueue.unblock(team);
-		}
+		this.pipelineStates.values().forEach((state) -> state.queue.unblock(team));
 		List<AdmissionAction> actions = new ArrayList<>();
 		dispatch(now, actions);
 		return actions;
@@ -148,9 +140,9 @@
 		Entry entry = runningEntry(id);
 		List<AdmissionAction> actions = new ArrayList<>();
 		if (this.settings.fair() && entry.workClass == WorkClass.SHORT) {
-			entry.pipelineState.adjustRunning(WorkClass.SHORT, -1);
+			entry.pipelineState.rate(WorkClass.SHORT).adjustRunning(-1);
 			entry.workClass = WorkClass.LONG;
-			entry.pipelineState.adjustRunning(WorkClass.LONG, 1);
+			entry.pipelineState.rate(WorkClass.LONG).adjustRunning(1);
 			dispatch(now, actions);
 		}
 		return actions;
@@ -163,7 +155,7 @@
 	 * @return the resulting grants and rejections, in order
 	 */
 	public List<AdmissionAction> tick(long now) {
-		this.pipelineStates.values().forEach(PipelineState::unblockAndPrune);
+		this.pipelineStates.values().forEach((state) -> state.queue.unblockAndPrune());
 		List<AdmissionAction> actions = new ArrayList<>();
 		dispatch(now, actions);
 		return actions;
@@ -196,32 +188,26 @@
 		if (this.queued.size() > this.settings.maxQueued()) {
 			// Drops a request of the team with the longest queue, so that one team cannot
 			// fill the queue for the others.
-			Entry dropped = this.settings.fair() ? entry.queue().newestOfLongestQueue().orElse(entry) : entry;
+			Entry dropped = this.settings.fair()
+					? entry.queue().newestOfLongestQueue(entry.rank()).map(RankedQueue.Ticket::item).orElse(entry)
+					: entry;
 			reject(dropped, "the queue is full", expectedWaitNanos(dropped), actions);
 		}
 	}
 
 	private long expectedWaitNanos(Entry entry) {
-		PipelineState state = entry.pipelineState;
-		double serviceNanos = state.serviceTime(entry.workClass).meanNanos();
-		double waitNanos = entry.queue().estimatedPosition(queueName(entry.request)) * serviceNanos
-				/ Math.max(1, state.running(entry.workClass));
+		ServiceRate rate = entry.pipelineState.rate(entry.workClass);
+		double waitNanos = rate.waitNanos(entry.queue().estimatedPosition(entry.ticket));
 		int teamRunning = this.runningByTeam.getOrDefault(entry.request.team(), 0);
 		if (this.settings.fair() && teamRunning >= this.inputs.teamLimits().availableSlots(entry.request.team())) {
-			int teamQueued = entry.queue().size(queueName(entry.request));
-			waitNanos = Math.max(waitNanos, teamQueued * serviceNanos / Math.max(1, teamRunning));
+			int teamQueued = entry.queue().size(entry.rank(), queueName(entry.request));
+			waitNanos = Math.max(waitNanos, rate.waitNanos(teamQueued, teamRunning));
 		}
 		return (long) waitNanos;
 	}
 
 	private void dispatch(long now, List<AdmissionAction> actions) {
-		while (!this.entriesByDeadline.isEmpty() && this.entriesByDeadline.peek().request.deadlineNanos() - now < 0) {
-			Entry expired = this.entriesByDeadline.remove();
-			if (this.queued.get(expired.request.id()) == expired) {
-				reject(expired, "the deadline passed before the request could start", expectedWaitNanos(expired),
-						actions);
-			}
-		}
+		this.pipelineStates.values().forEach((state) -> rejectExpired(state, now, actions));
 		boolean granted = true;
 		while (granted) {
 			granted = false;
@@ -231,18 +217,28 @@
 		}
 	}
 
+	private void rejectExpired(PipelineState state, long now, List<AdmissionAction> actions) {
+		Optional<RankedQueue.Ticket<Entry>> expired = state.queue.peekExpired(now);
+		while (expired.isPresent()) {
+			Entry entry = expired.get().item();
+			reject(entry, "the deadline passed before the request could start", expectedWaitNanos(entry), actions);
+			expired = state.queue.peekExpired(now);
+		}
+	}
+
 	private boolean tryGrantNext(PipelineState state, long now, List<AdmissionAction> actions) {
 		if (this.running.size() >= this.settings.maxRunning()) {
 			return false;
 		}
-		int runningAfterGrant = state.shortRunning + state.longRunning + 1;
-		if (state.longRunning < Math.max(1, (int) (this.settings.longShare() * runningAfterGrant))) {
-			Optional<Entry> longEntry = acquireNextEligible(state.longQueue);
+		int longRunning = state.rate(WorkClass.LONG).running();
+		int runningAfterGrant = state.rate(WorkClass.SHORT).running() + longRunning + 1;
+		if (longRunning < Math.max(1, (int) (this.settings.longShare() * runningAfterGrant))) {
+			Optional<Entry> longEntry = acquireNextEligible(state.queue, WorkClass.LONG);
 			if (longEntry.isPresent()) {
 				return tryGrant(longEntry.get(), 1, now, actions);
 			}
 		}
-		Optional<Entry> shortEntry = acquireNextEligible(state.shortQueue);
+		Optional<Entry> shortEntry = acquireNextEligible(state.queue, WorkClass.SHORT);
 		if (shortEntry.isPresent()) {
 			return tryGrant(shortEntry.get(), SHORT_WORK_LIMIT_SHARE, now, actions);
 		}
@@ -250,21 +246,23 @@
 		if (this.running.size() + 1 > unreservedShare * this.settings.maxRunning()) {
 			return false;
 		}
-		return acquireNextEligible(state.longQueue).map((entry) -> tryGrant(entry, unreservedShare, now, actions))
+		return acquireNextEligible(state.queue, WorkClass.LONG)
+			.map((entry) -> tryGrant(entry, unreservedShare, now, actions))
 			.orElse(false);
 	}
 
 	/**
 	 * Acquires a team slot for the next entry that may start.
 	 * @param queue the queue to take the entry from; the entry stays in it
+	 * @param workClass the class of the entry
 	 * @return the entry, or empty if no queued team has a free slot
 	 */
-	private Optional<Entry> acquireNextEligible(FairQueue<Entry> queue) {
-		if (!this.settings.fair()) {
-			return queue.peek((name) -> true);
-		}
+	private Optional<Entry> acquireNextEligible(RankedQueue<Entry> queue, WorkClass workClass) {
 		return queue
-			.peek((team) -> this.inputs.teamLimits().tryAcquire(team, this.runningByTeam.getOrDefault(team, 0)));
+			.peek(workClass.ordinal(),
+					(team) -> !this.settings.fair()
+							|| this.inputs.teamLimits().tryAcquire(team, this.runningByTeam.getOrDefault(team, 0)))
+			.map(RankedQueue.Ticket::item);
 	}
 
 	private boolean tryGrant(Entry entry, double limitShare, long now, List<AdmissionAction> actions) {
@@ -275,9 +273,9 @@
 		if (this.queued.remove(entry.request.id()) != entry || this.running.put(entry.request.id(), entry) != null) {
 			throw new IllegalStateException("request " + entry.request.id() + " granted while not queued");
 		}
-		entry.queue().dequeue(queueName(entry.request), entry, entry.estimatedTokens);
+		entry.queue().start(entry.ticket, entry.estimatedTokens);
 		entry.startNanos = now;
-		entry.pipelineState.adjustRunning(entry.workClass, 1);
+		entry.pipelineState.rate(entry.workClass).adjustRunning(1);
 		this.runningByTeam.merge(entry.request.team(), 1, Integer::sum);
 		actions.add(new AdmissionAction.Grant(entry.request, entry.workClass, entry.estimatedTokens));
 		return true;
@@ -290,7 +288,7 @@
 	}
 
 	private void reject(Entry entry, String reason, long waitNanos, List<AdmissionAction> actions) {
-		if (this.queued.remove(entry.request.id()) != entry || !entry.queue().remove(queueName(entry.request), entry)) {
+		if (this.queued.remove(entry.request.id()) != entry || !entry.queue().remove(entry.ticket)) {
 			throw new IllegalStateException("request " + entry.request.id() + " rejected while not queued");
 		}
 		Duration retryAfter = Duration.ofNanos(waitNanos);
@@ -336,6 +334,8 @@
 
 		private WorkClass workClass;
 
+		private RankedQueue.Ticket<Entry> ticket;
+
 		private long startNanos;
 
 		private Entry(CallerRequest request, PipelineState pipelineState, int estimatedTokens, WorkClass workClass) {
@@ -346,69 +346,30 @@
 			this.workClass = workClass;
 		}
 
-		private FairQueue<Entry> queue() {
-			return (this.queueClass == WorkClass.SHORT) ? this.pipelineState.shortQueue : this.pipelineState.longQueue;
+		private RankedQueue<Entry> queue() {
+			return this.pipelineState.queue;
 		}
 
-	}
-
-	/**
-	 * Queues, service times and numbers of running requests of one pipeline. Without fair
-	 * queues, all pipelines share one state.
-	 */
-	private static final class PipelineState {
-
-		private final FairQueue<Entry> shortQueue = new FairQueue<>();
-
-		private final FairQueue<Entry> longQueue = new FairQueue<>();
-
-		private final ServiceTimeAverage shortServiceTime = new ServiceTimeAverage();
-
-		private final ServiceTimeAverage longServiceTime = new ServiceTimeAverage();
-
-		private int shortRunning;
-
-		private int longRunning;
-
-		private void unblockAndPrune() {
-			this.shortQueue.unblockAndPrune();
-			this.longQueue.unblockAndPrune();
-		}
-
-		private int running(WorkClass workClass) {
-			return (workClass == WorkClass.SHORT) ? this.shortRunning : this.longRunning;
-		}
-
-		private ServiceTimeAverage serviceTime(WorkClass workClass) {
-			return (workClass == WorkClass.SHORT) ? this.shortServiceTime : this.longServiceTime;
-		}
-
-		private void adjustRunning(WorkClass workClass, int delta) {
-			if (workClass == WorkClass.SHORT) {
-				this.shortRunning += delta;
-			}
-			else {
-				this.longRunning += delta;
-			}
+		private int rank() {
+			return this.queueClass.ordinal();
 		}
 
 	}
 
 	/**
-	 * Exponentially weighted moving average of the time that requests run.
+	 * Queue and service rates of one pipeline, with a rank and a rate for each class.
+	 * Without fair queues, all pipelines share one state.
 	 */
-	private static final class ServiceTimeAverage {
+	private static final class PipelineState {
 
-		private static final double SMOOTHING_FACTOR = 0.05;
+		private final RankedQueue<Entry> queue = new RankedQueue<>(WorkClass.values().length);
 
-		private double meanNanos;
+		private final ServiceRate shortRate = new ServiceRate();
 
-		private void add(long sampleNanos) {
-			this.meanNanos += ((this.meanNanos == 0) ? 1 : SMOOTHING_FACTOR) * (sampleNanos - this.meanNanos);
-		}
+		private final ServiceRate longRate = new ServiceRate();
 
-		private double meanNanos() {
-			return this.meanNanos;
+		private ServiceRate rate(WorkClass workClass) {
+			return (workClass == WorkClass.SHORT) ? this.shortRate : this.longRate;
 		}
 
 	}
