Let relayed requests wait for room by rank and team

The relay sent each request at once, also into engines that had just turned others away, kept those without an eligible upstream in order of arrival, and told all refused clients the same time to return, so that they came back as one wave. With admission.queue requests wait in the queue of the stepwise admission for an eighth of their target latency: more urgent ranks first with a share for the others, clients that come back before new ones, teams fairly. A completed request wakes the queue. A request that full engines cannot take in time is refused at once, and refused clients are told times that follow one another at the rate at which requests end.

Instances of plain services are chosen by the use of their slots by all daemons; daemons without requests there no longer all choose the first one.

Without the setting nothing waits by rank.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.http.ResponseHead;
@@ -32,13 +33,18 @@
 
 	private final Set<RelayExchange> exchanges = new LinkedHashSet<>();
 
+	/** Called at the end of each request that was sent to an upstream. */
+	private final Consumer<RelayExchange> onSentEnded;
+
 	private volatile int count;
 
-	InFlightRequests(UpstreamSelector selector, RelayMetrics metrics, RequestLog requestLog, MonotonicClock clock) {
+	InFlightRequests(UpstreamSelector selector, RelayMetrics metrics, RequestLog requestLog, MonotonicClock clock,
+			Consumer<RelayExchange> onSentEnded) {
 		this.selector = selector;
 		this.metrics = metrics;
 		this.requestLog = requestLog;
 		this.clock = clock;
+		this.onSentEnded = onSentEnded;
 	}
 
 	// Returns the number of requests in flight. May be called on any thread.
@@ -110,6 +116,9 @@
 		this.count = this.exchanges.size();
 		this.metrics.recordEnd(outcome, exchange.age(this.clock.nanos()));
 		this.requestLog.logEnded(exchange, outcome);
+		if (exchange.attempts() > 0) {
+			this.onSentEnded.accept(exchange);
+		}
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -1,8 +1,7 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -42,21 +41,11 @@
 	 */
 	static final Duration CHECK_PERIOD = Duration.ofMillis(25);
 
-	/**
-	 * A request waits for an eligible upstream for at most its route's target latency
-	 * divided by this. Waiting longer would cost the client more than a rejection and a
-	 * retry.
-	 */
-	private static final int TARGET_LATENCY_WAIT_DIVISOR = 8;
-
 	/**
 	 * Maximum number of attempts of a request, including rejected ones.
 	 */
 	private static final int MAX_ATTEMPTS = 5;
 
-	/** Retry-After value if no upstream is eligible, for example while layers load. */
-	private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(1000);
-
 	/**
 	 * A rejection within this time means that the engine is saturated; a dead engine is
 	 * reported only after a longer silence.
@@ -104,7 +93,10 @@
 
 	private final CrashTracker crashTracker;
 
-	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
+	private final WaitingRequests waiting;
+
+	/** The requests that arrived before the first configuration. */
+	private final List<RelayExchange> unconfigured = new ArrayList<>();
 
 	private WaitingSettings waitingSettings;
 
@@ -125,7 +117,9 @@
 				(engineId, own, nowNanos) -> own.times(this.daemonCount));
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
-		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
+		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock, this::handleSentEnded);
+		this.waiting = new WaitingRequests(settings.waiting(), new SelectedUpstreams(), this.inFlight::fail, metrics,
+				clock, random);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
 				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt);
 		this.crashTracker = new CrashTracker(clock,
@@ -172,6 +166,7 @@
 			this.admission.reload(changed);
 			this.retryBudgets.reload(changed);
 			this.waitingSettings = changed.waiting();
+			this.waiting.reload(changed.waiting());
 		});
 	}
 
@@ -198,6 +193,7 @@
 		this.controlThread.assertOnControlThread();
 		if (this.admission.apply(configuration)) {
 			this.selector.configure(configuration);
+			admitUnconfigured();
 		}
 	}
 
@@ -247,7 +243,7 @@
 	private void admitOrWait(RelayExchange exchange) {
 		boolean unconfigured = configuration().isEmpty();
 		if (unconfigured && exchange.age(this.clock.nanos()).compareTo(MAX_CONFIGURATION_WAIT) < 0) {
-			this.waiting.add(exchange);
+			this.unconfigured.add(exchange);
 			return;
 		}
 		Optional<LocalResponse> rejection = this.admission.admit(exchange);
@@ -256,30 +252,35 @@
 			return;
 		}
 		this.retryBudgets.recordRequest(exchange.rule(), this.clock.nanos());
-		dispatchOrWait(exchange);
+		this.waiting.submit(exchange);
+	}
+
+	// Admits the requests that have waited for the first configuration.
+	private void admitUnconfigured() {
+		List<RelayExchange> arrived = List.copyOf(this.unconfigured);
+		this.unconfigured.clear();
+		arrived.stream().filter((exchange) -> !exchange.isFinished()).forEach(this::admitOrWait);
+	}
+
+	private void handleSentEnded(RelayExchange exchange) {
+		this.waiting.recordEnd(exchange);
 	}
 
-	private void dispatchOrWait(RelayExchange exchange) {
+	// Sends an admitted request for the first time, or ends it. Returns false if no
+	// upstream is eligible.
+	private boolean sendOrReject(RelayExchange exchange) {
 		long nowNanos = this.clock.nanos();
 		Optional<LocalResponse> refusal = this.crashTracker.refuse(exchange, nowNanos);
 		if (refusal.isPresent()) {
 			this.inFlight.reject(exchange, refusal.get());
-			return;
+			return true;
 		}
 		if (dispatch(exchange)) {
-			return;
+			return true;
 		}
 		Optional<Duration> untilRestEnds = this.selector.untilRestEnds(exchange.rule(), nowNanos);
-		if (untilRestEnds.isPresent()) {
-			this.inFlight.fail(exchange, "all upstreams asked for a rest", untilRestEnds.get());
-			return;
-		}
-		Duration maxWait = exchange.rule().targetLatency().dividedBy(TARGET_LATENCY_WAIT_DIVISOR);
-		if (exchange.age(nowNanos).compareTo(maxWait) < 0 && exchange.attempts() == 0) {
-			this.waiting.add(exchange);
-			return;
-		}
-		this.inFlight.fail(exchange, "no upstream can take the request", RETRY_AFTER_NO_UPSTREAM);
+		untilRestEnds.ifPresent((rest) -> this.inFlight.fail(exchange, "all upstreams asked for a rest", rest));
+		return untilRestEnds.isPresent();
 	}
 
 	// Sends the request to the best upstream. Returns false if no upstream is eligible or
@@ -302,6 +303,9 @@
 		RelayAttempt attempt = new RelayAttempt(exchange, forwarding.get(), this.messageFormat, this,
 				UpstreamSelector.requestTokens(exchange), this.responseBuffers);
 		attempt.setCrashCounts(this.crashTracker.crashCounts(exchange));
+		if (exchange.attempts() == 0) {
+			this.waiting.recordStart(exchange);
+		}
 		exchange.startAttempt(attempt);
 		exchange.addExecutions(1);
 		this.selector.recordSent(attempt);
@@ -380,7 +384,8 @@
 	// Returns when a client may come back after its request was rejected by an upstream.
 	private Duration retryAfterRejection(RelayExchange exchange) {
 		return this.selector.untilRestEnds(exchange.rule(), this.clock.nanos())
-			.orElse(InFlightRequests.RETRY_AFTER_BUSY);
+			.orElseGet(() -> this.waitingSettings.queue() ? this.waiting.retryAfter(exchange)
+					: InFlightRequests.RETRY_AFTER_BUSY);
 	}
 
 	// Ejects the engine that caused the rejection, or the upstream if no engine is named.
@@ -509,26 +514,15 @@
 	}
 
 	/**
-	 * Dispatches waiting requests, checks the timeouts of all requests and removes
-	 * expired upstreams. Runs on the control thread.
+	 * Starts waiting requests, checks the timeouts of all requests and removes expired
+	 * upstreams. Runs on the control thread.
 	 */
 	void runPeriodicChecks() {
 		long nowNanos = this.clock.nanos();
 		this.directory.removeExpired(nowNanos);
 		this.admission.updateReadiness();
-		int count = this.waiting.size();
-		for (int i = 0; i < count; i++) {
-			RelayExchange exchange = this.waiting.poll();
-			if (exchange.isFinished()) {
-				continue;
-			}
-			if (exchange.rule() == null) {
-				admitOrWait(exchange);
-			}
-			else {
-				dispatchOrWait(exchange);
-			}
-		}
+		admitUnconfigured();
+		this.waiting.check();
 		this.attemptMonitor.check(nowNanos);
 	}
 
@@ -540,4 +534,24 @@
 				&& this.retryBudgets.hasRetry(exchange.rule(), this.clock.nanos());
 	}
 
+	/** Answers the queue from the routing state. */
+	private final class SelectedUpstreams implements WaitingRequests.Upstreams {
+
+		@Override
+		public Room room(RelayExchange exchange) {
+			return RelayControl.this.selector.room(exchange, RelayControl.this.clock.nanos());
+		}
+
+		@Override
+		public boolean start(RelayExchange exchange) {
+			return sendOrReject(exchange);
+		}
+
+		@Override
+		public int daemonCount() {
+			return RelayControl.this.daemonCount;
+		}
+
+	}
+
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -47,6 +47,8 @@
 
 	private int priority;
 
+	private boolean returning;
+
 	private int attempts;
 
 	private int executions;
@@ -116,6 +118,19 @@
 		return this.priority;
 	}
 
+	// Returns whether the client has sent this request before.
+	boolean isReturning() {
+		return this.returning;
+	}
+
+	void setReturning(boolean isReturning) {
+		this.returning = isReturning;
+	}
+
+	boolean arrivedEarlier(RelayExchange other) {
+		return this.arrivalNanos - other.arrivalNanos < 0;
+	}
+
 	void admit(RouteRule matchedRule, Optional<String> requestTeam) {
 		admit(matchedRule, requestTeam, matchedRule.priority());
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
@@ -38,12 +38,12 @@
 	private final Map<String, Long> restEndNanos = new HashMap<>();
 
 	void recordFailure(String id, String reason, long nowNanos) {
-		Ejection previous = this.ejections.getOrDefault(id, new Ejection(nowNanos, Duration.ZERO, false));
+		Ejection previous = this.ejections.getOrDefault(id, new Ejection(nowNanos, Duration.ZERO, Cause.FAILURE));
 		if (nowNanos < previous.untilNanos()) {
 			return;
 		}
 		Duration duration = nextDuration(previous.duration(), INITIAL_EJECTION);
-		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, false));
+		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, Cause.FAILURE));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
 			.addKeyValue("reason", reason)
@@ -53,7 +53,7 @@
 
 	// Ejects a stalled upstream, for the maximum duration at once.
 	void recordStall(String id, long nowNanos) {
-		this.ejections.put(id, new Ejection(nowNanos + MAX_EJECTION.toNanos(), MAX_EJECTION, true));
+		this.ejections.put(id, new Ejection(nowNanos + MAX_EJECTION.toNanos(), MAX_EJECTION, Cause.STALL));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
 			.addKeyValue("for_ms", MAX_EJECTION.toMillis())
@@ -68,7 +68,7 @@
 		}
 		Duration previous = Optional.ofNullable(this.ejections.get(id)).map(Ejection::duration).orElse(Duration.ZERO);
 		Duration duration = nextDuration(previous, INITIAL_SATURATION_EJECTION);
-		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, false));
+		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, Cause.SATURATION));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
 			.addKeyValue("for_ms", duration.toMillis())
@@ -112,14 +112,33 @@
 
 	// Returns whether an upstream is ejected because it was reported as stalled.
 	boolean isStalled(String id, long nowNanos) {
-		return isEjected(id, nowNanos) && this.ejections.get(id).stalled();
+		return isEjected(id, nowNanos) && this.ejections.get(id).cause() == Cause.STALL;
+	}
+
+	// Returns whether an upstream is ejected because it had no room for a request.
+	boolean isSaturated(String id, long nowNanos) {
+		return isEjected(id, nowNanos) && this.ejections.get(id).cause() == Cause.SATURATION;
 	}
 
 	/**
 	 * A time during which an upstream gets no requests unless no other is eligible. Kept
 	 * after its end, so that the next one can be longer.
 	 */
-	private record Ejection(long untilNanos, Duration duration, boolean stalled) {
+	private record Ejection(long untilNanos, Duration duration, Cause cause) {
+
+	}
+
+	/** Why an upstream is ejected. */
+	private enum Cause {
+
+		/** It failed a request. */
+		FAILURE,
+
+		/** It reported that its work is stalled. */
+		STALL,
+
+		/** It turned a request away for want of room. */
+		SATURATION
 
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -183,12 +184,78 @@
 	private Optional<UpstreamInstance> selectInstance(RelayExchange exchange, String service, long nowNanos) {
 		Comparator<UpstreamInstance> leastLoaded = Comparator
 			.comparing((UpstreamInstance instance) -> this.health.isEjected(instance.id(), nowNanos))
-			.thenComparing((instance) -> this.load.at(instance.id()).requests())
+			.thenComparing((instance) -> slotUse(instance, nowNanos))
 			.thenComparing((instance) -> !instance.dataCentre().equals(this.dataCentre));
-		return eligibleEntries(service, nowNanos).stream()
+		List<UpstreamInstance> instances = new ArrayList<>();
+		eligibleEntries(service, nowNanos).stream()
 			.map(DirectoryEntry::instance)
 			.filter((instance) -> !exchange.failedUpstreams().contains(instance.id()))
-			.min(leastLoaded);
+			.forEach(instances::add);
+		// All daemons list the instances in the same order, so each one begins elsewhere.
+		if (!instances.isEmpty()) {
+			Collections.rotate(instances, this.random.nextInt(instances.size()));
+		}
+		return instances.stream().min(leastLoaded);
+	}
+
+	// Returns the expected use of an instance's slots by all daemons, 1 if all are used.
+	private double slotUse(UpstreamInstance instance, long nowNanos) {
+		return work(instance.id(), nowNanos).requests() / Math.max(1, instance.slots());
+	}
+
+	// Returns whether the upstreams of a route have room for a request now. If requests
+	// are split among several services, room at one of them counts.
+	Room room(RelayExchange exchange, long nowNanos) {
+		return exchange.rule()
+			.services()
+			.stream()
+			.filter((split) -> split.weight() > 0)
+			.map((split) -> room(exchange, split.service(), nowNanos))
+			.min(Comparator.naturalOrder())
+			.orElse(Room.UNKNOWN);
+	}
+
+	private Room room(RelayExchange exchange, String service, long nowNanos) {
+		List<DirectoryEntry> entries = eligibleEntries(service, nowNanos).stream()
+			.filter((entry) -> !exchange.failedUpstreams().contains(entry.instance().id()))
+			.toList();
+		Predicate<DirectoryEntry> notEjected = (entry) -> !this.health.isEjected(entry.instance().id(), nowNanos);
+		Predicate<DirectoryEntry> saturated = (entry) -> this.health.isSaturated(entry.instance().id(), nowNanos);
+		if (isServed(service, entries, notEjected.and((entry) -> hasRoom(service, entry, nowNanos)))) {
+			return Room.FREE;
+		}
+		if (isServed(service, entries, notEjected)) {
+			return Room.BUSY;
+		}
+		return isServed(service, entries, notEjected.or(saturated)) ? Room.FULL : Room.UNKNOWN;
+	}
+
+	private boolean hasRoom(String service, DirectoryEntry entry, long nowNanos) {
+		EngineProfile profile = this.profiles.get(service);
+		if (profile == null) {
+			return entry.instance().slots() == 0 || slotUse(entry.instance(), nowNanos) < 1;
+		}
+		return entry.engine().isPresent() && isBelowSaturation(profile, entry.engine().get(), nowNanos);
+	}
+
+	// Returns whether some of the entries can serve a request: one of a plain service, or
+	// engines that hold all layers together.
+	private boolean isServed(String service, List<DirectoryEntry> entries, Predicate<DirectoryEntry> eligible) {
+		EngineProfile profile = this.profiles.get(service);
+		if (profile == null) {
+			return entries.stream().anyMatch(eligible);
+		}
+		int covered = 0;
+		for (LayerRange layers : entries.stream()
+			.filter(eligible)
+			.flatMap((entry) -> entry.engine().flatMap(EngineInstance::layers).stream())
+			.sorted(Comparator.comparingInt(LayerRange::first))
+			.toList()) {
+			if (layers.first() <= covered) {
+				covered = Math.max(covered, layers.end());
+			}
+		}
+		return covered >= profile.layers();
 	}
 
 	void recordSent(RelayAttempt attempt) {
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -0,0 +1,324 @@
+package org.mulberrycross.router.relay;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+
+import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.caller.RankedQueue;
+import org.mulberrycross.caller.ReturnSchedule;
+import org.mulberrycross.caller.ServiceRate;
+import org.mulberrycross.caller.WeightedService;
+
+/**
+ * The requests that wait for room at their upstreams, by service: the more urgent rank
+ * first, within a rank those that were refused once before new ones, and these fairly by
+ * team. A request waits for a fraction of its target latency. Confined to the control
+ * thread; not thread-safe.
+ */
+final class WaitingRequests {
+
+	/**
+	 * A request waits for room for at most its route's target latency divided by this.
+	 * Waiting longer would cost the client more than a rejection and a retry.
+	 */
+	static final int TARGET_LATENCY_WAIT_DIVISOR = 8;
+
+	/** Number of ranks; priorities beyond it share the last one. */
+	static final int PRIORITIES = 10;
+
+	/**
+	 * While less urgent requests wait, each start of this number goes to the one that has
+	 * waited longest, so that no rank is starved by a steady load of more urgent ones.
+	 */
+	private static final int STARTS_PER_LESS_URGENT = 4;
+
+	/** Number of services above which those without any requests are forgotten. */
+	private static final int MAX_IDLE_SERVICES = 256;
+
+	/** Time after which the first of several refused callers may return. */
+	private static final Duration SHORTEST_RETURN = Duration.ofMillis(150);
+
+	/** Time between returns until the rate at which requests end is known. */
+	private static final Duration UNKNOWN_INTERVAL = Duration.ofMillis(20);
+
+	/** Retry-After value if no upstream is eligible, for example while layers load. */
+	private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(1000);
+
+	private final Upstreams upstreams;
+
+	private final Refusal refusal;
+
+	private final RelayMetrics metrics;
+
+	private final MonotonicClock clock;
+
+	private final RandomGenerator random;
+
+	private final Map<String, ServiceQueue> queues = new HashMap<>();
+
+	private final ReturningCallers returningCallers = new ReturningCallers();
+
+	private WaitingSettings settings;
+
+	private int size;
+
+	WaitingRequests(WaitingSettings settings, Upstreams upstreams, Refusal refusal, RelayMetrics metrics,
+			MonotonicClock clock, RandomGenerator random) {
+		this.settings = settings;
+		this.upstreams = upstreams;
+		this.refusal = refusal;
+		this.metrics = metrics;
+		this.clock = clock;
+		this.random = random;
+	}
+
+	void reload(WaitingSettings changed) {
+		this.settings = changed;
+	}
+
+	int size() {
+		return this.size;
+	}
+
+	// Starts an admitted request, lets it wait or refuses it.
+	void submit(RelayExchange exchange) {
+		long nowNanos = this.clock.nanos();
+		exchange.setReturning(this.returningCallers.record(exchange));
+		ServiceQueue queue = queue(exchange);
+		boolean isBehind = this.settings.queue() && queue.waiting.sizeUpTo(rank(exchange)) > 0;
+		if (!isBehind && tryStart(queue, exchange)) {
+			return;
+		}
+		Duration maxWait = exchange.rule().targetLatency().dividedBy(TARGET_LATENCY_WAIT_DIVISOR);
+		Duration wait = maxWait.minus(exchange.age(nowNanos));
+		if (wait.isNegative() || wait.isZero() || this.size >= this.settings.maxWaiting()) {
+			endWait(queue, exchange);
+			return;
+		}
+		RankedQueue.Ticket<RelayExchange> ticket = queue.waiting.add(rank(exchange), exchange.team().orElse(""), 1,
+				nowNanos + wait.toNanos(), exchange);
+		changeSize(ticket, 1);
+		if (this.settings.queue() && queue.expectedWaitNanos(ticket) / this.upstreams.daemonCount() > wait.toNanos()) {
+			remove(queue, ticket);
+			endWait(queue, exchange);
+		}
+	}
+
+	// Records that a request was sent for the first time.
+	void recordStart(RelayExchange exchange) {
+		queue(exchange).rate.adjustRunning(1);
+	}
+
+	// Records that a request that was sent has ended, and starts requests that wait.
+	void recordEnd(RelayExchange exchange) {
+		ServiceQueue queue = queue(exchange);
+		queue.rate.adjustRunning(-1);
+		queue.rate.recordServiceTime(exchange.age(this.clock.nanos()).toNanos());
+		startWaiting(queue);
+	}
+
+	// Starts requests that have room now and ends the wait of those that waited long
+	// enough.
+	void check() {
+		long nowNanos = this.clock.nanos();
+		for (ServiceQueue queue : List.copyOf(this.queues.values())) {
+			startWaiting(queue);
+			Optional<RankedQueue.Ticket<RelayExchange>> expired = queue.waiting.peekExpired(nowNanos);
+			while (expired.isPresent()) {
+				remove(queue, expired.get());
+				endWait(queue, expired.get().item());
+				expired = queue.waiting.peekExpired(nowNanos);
+			}
+			queue.waiting.unblockAndPrune();
+		}
+		if (this.queues.size() > MAX_IDLE_SERVICES) {
+			this.queues.values().removeIf(ServiceQueue::isIdle);
+		}
+	}
+
+	// Returns when the client of a refused request may come back: when room for it is
+	// expected, behind those that were refused before.
+	Duration retryAfter(RelayExchange exchange) {
+		ServiceQueue queue = queue(exchange);
+		long nowNanos = this.clock.nanos();
+		return queue.returns.book(queue.intervalNanos(), exchange.remainingTime(nowNanos), nowNanos);
+	}
+
+	private ServiceQueue queue(RelayExchange exchange) {
+		String services = exchange.rule()
+			.services()
+			.stream()
+			.map(WeightedService::service)
+			.collect(Collectors.joining(","));
+		return this.queues.computeIfAbsent(services, (key) -> new ServiceQueue(this.random));
+	}
+
+	// Without the setting, all requests have the same rank.
+	private int rank(RelayExchange exchange) {
+		if (!this.settings.queue()) {
+			return 0;
+		}
+		int priority = Math.max(0, Math.min(PRIORITIES - 1, exchange.priority()));
+		return 2 * priority + (exchange.isReturning() ? 0 : 1);
+	}
+
+	private boolean tryStart(ServiceQueue queue, RelayExchange exchange) {
+		if (this.settings.queue()) {
+			Room room = this.upstreams.room(exchange);
+			if (room == Room.BUSY || room == Room.FULL) {
+				return false;
+			}
+		}
+		return this.upstreams.start(exchange);
+	}
+
+	private void startWaiting(ServiceQueue queue) {
+		Optional<RankedQueue.Ticket<RelayExchange>> next = queue.next();
+		while (next.isPresent()) {
+			RelayExchange exchange = next.get().item();
+			if (exchange.isFinished()) {
+				remove(queue, next.get());
+			}
+			else if (tryStart(queue, exchange)) {
+				start(queue, next.get());
+			}
+			else {
+				return;
+			}
+			next = queue.next();
+		}
+	}
+
+	private void start(ServiceQueue queue, RankedQueue.Ticket<RelayExchange> ticket) {
+		int mostUrgent = queue.mostUrgentRank();
+		queue.waiting.start(ticket, 1 + UpstreamSelector.requestTokens(ticket.item()).total());
+		queue.startsSinceLessUrgent = (ticket.rank() > mostUrgent) ? 0 : queue.startsSinceLessUrgent + 1;
+		changeSize(ticket, -1);
+		this.metrics.recordWait(ticket.item().priority(), ticket.item().age(this.clock.nanos()));
+	}
+
+	private void remove(ServiceQueue queue, RankedQueue.Ticket<RelayExchange> ticket) {
+		queue.waiting.remove(ticket);
+		changeSize(ticket, -1);
+	}
+
+	private void changeSize(RankedQueue.Ticket<RelayExchange> ticket, int change) {
+		this.size += change;
+		this.metrics.changeWaiting(ticket.item().priority(), change);
+	}
+
+	// Handles a request that cannot wait any longer. Room that is only expected to be
+	// missing is no reason to refuse it; upstreams that have just turned requests away
+	// are one, once for each caller.
+	private void endWait(ServiceQueue queue, RelayExchange exchange) {
+		if (exchange.isFinished()) {
+			return;
+		}
+		if (this.settings.queue() && !exchange.isReturning() && this.upstreams.room(exchange) == Room.FULL) {
+			refuse(exchange, "upstreams are full", retryAfter(exchange));
+			return;
+		}
+		if (this.upstreams.start(exchange)) {
+			return;
+		}
+		refuse(exchange, "no upstream can take the request",
+				this.settings.queue() ? retryAfter(exchange) : RETRY_AFTER_NO_UPSTREAM);
+	}
+
+	private void refuse(RelayExchange exchange, String reason, Duration retryAfter) {
+		this.metrics.countRefusal(reason, exchange.priority());
+		this.refusal.refuse(exchange, reason, retryAfter);
+	}
+
+	/** The upstreams, as far as the queue needs them. */
+	interface Upstreams {
+
+		// Returns whether there is room for a request now.
+		Room room(RelayExchange exchange);
+
+		// Sends or ends a request. Returns false if no upstream is eligible, in which
+		// case nothing has happened.
+		boolean start(RelayExchange exchange);
+
+		// Returns the number of daemons, whose requests make room as well, at least 1.
+		int daemonCount();
+
+	}
+
+	/** Ends a request that was not sent. */
+	@FunctionalInterface
+	interface Refusal {
+
+		void refuse(RelayExchange exchange, String reason, Duration retryAfter);
+
+	}
+
+	/** The requests that wait for one service, and the rate at which others end. */
+	private static final class ServiceQueue {
+
+		private final RankedQueue<RelayExchange> waiting = new RankedQueue<>(2 * PRIORITIES);
+
+		private final ServiceRate rate = new ServiceRate();
+
+		private final ReturnSchedule returns;
+
+		private int startsSinceLessUrgent;
+
+		private ServiceQueue(RandomGenerator random) {
+			this.returns = new ReturnSchedule(SHORTEST_RETURN, random);
+		}
+
+		// Returns the expected time until room for a request comes free if only the
+		// requests of this daemon made room.
+		private double expectedWaitNanos(RankedQueue.Ticket<RelayExchange> ticket) {
+			int moreUrgent = (ticket.rank() > 0) ? this.waiting.sizeUpTo(ticket.rank() - 1) : 0;
+			return this.rate.waitNanos(moreUrgent + this.waiting.estimatedPosition(ticket));
+		}
+
+		private double intervalNanos() {
+			double intervalNanos = this.rate.waitNanos(1);
+			return (intervalNanos > 0) ? intervalNanos : UNKNOWN_INTERVAL.toNanos();
+		}
+
+		// Returns the most urgent rank that waits, or the number of ranks if none does.
+		private int mostUrgentRank() {
+			int rank = 0;
+			while (rank < this.waiting.rankCount() && this.waiting.size(rank) == 0) {
+				rank++;
+			}
+			return rank;
+		}
+
+		private boolean isIdle() {
+			return this.rate.running() == 0 && this.waiting.sizeUpTo(this.waiting.rankCount() - 1) == 0;
+		}
+
+		// Returns the request that starts next: that of the most urgent rank, but each
+		// fourth time the one of the others that has waited longest.
+		private Optional<RankedQueue.Ticket<RelayExchange>> next() {
+			Optional<RankedQueue.Ticket<RelayExchange>> urgent = Optional.empty();
+			Optional<RankedQueue.Ticket<RelayExchange>> longest = Optional.empty();
+			for (int rank = 0; rank < this.waiting.rankCount(); rank++) {
+				Optional<RankedQueue.Ticket<RelayExchange>> first = this.waiting.peek(rank, (team) -> true);
+				if (urgent.isEmpty()) {
+					urgent = first;
+				}
+				else if (first.isPresent()
+						&& (longest.isEmpty() || first.get().item().arrivedEarlier(longest.get().item()))) {
+					longest = first;
+				}
+			}
+			if (longest.isPresent() && this.startsSinceLessUrgent >= STARTS_PER_LESS_URGENT - 1) {
+				return longest;
+			}
+			return urgent;
+		}
+
+	}
+
+}
