--- a/mulberrycross/src/main/java/org/mulberrycross/caller/ReturnSchedule.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/ReturnSchedule.java
@@ -16,8 +16,6 @@
 	/** Random part of each time, which separates callers of different daemons. */
 	private static final double JITTER = 0.5;
 
-	private final Duration shortest;
-
 	private final RandomGenerator random;
 
 	private long nextReturnNanos;
@@ -26,24 +24,23 @@
 
 	/**
 	 * Creates a schedule without callers.
-	 * @param shortest the time after which the first refused caller may return, not null
 	 * @param random the source of random numbers, not null
 	 */
-	public ReturnSchedule(Duration shortest, RandomGenerator random) {
-		this.shortest = shortest;
+	public ReturnSchedule(RandomGenerator random) {
 		this.random = random;
 	}
 
 	/**
 	 * Books the return of a refused caller.
+	 * @param shortest the time after which the first refused caller may return, not null
 	 * @param intervalNanos the expected time until room for one request comes free
 	 * @param remaining the time until the caller's deadline, not null
 	 * @param now the time on the daemon's monotonic clock, in nanoseconds
 	 * @return the time after which the caller may return, at most a third of its
 	 * remaining time
 	 */
-	public Duration book(double intervalNanos, Duration remaining, long now) {
-		long earliestNanos = now + this.shortest.toNanos();
+	public Duration book(Duration shortest, double intervalNanos, Duration remaining, long now) {
+		long earliestNanos = now + shortest.toNanos();
 		long returnNanos = (this.used && this.nextReturnNanos - earliestNanos > 0) ? this.nextReturnNanos
 				: earliestNanos;
 		long longestNanos = Math.max(0, remaining.toNanos() / REMAINING_TIME_DIVISOR);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -384,7 +384,7 @@
 	// Returns when a client may come back after its request was rejected by an upstream.
 	private Duration retryAfterRejection(RelayExchange exchange) {
 		return this.selector.untilRestEnds(exchange.rule(), this.clock.nanos())
-			.orElseGet(() -> this.waitingSettings.queue() ? this.waiting.retryAfter(exchange)
+			.orElseGet(() -> this.waitingSettings.queue() ? this.waiting.retryAfterFull(exchange)
 					: InFlightRequests.RETRY_AFTER_BUSY);
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -113,11 +113,11 @@
 	// Admits a request, or returns the response that rejects it.
 	Optional<LocalResponse> admit(RelayExchange exchange) {
 		if (isRefusedByShutdown(exchange)) {
-			return Optional.of(LocalResponse.notExecuted(RETRY_AFTER_OTHER_DAEMON, "daemon stops"));
+			return Optional.of(LocalResponse.notExecuted(spread(RETRY_AFTER_OTHER_DAEMON, exchange), "daemon stops"));
 		}
 		if (this.configuration.isEmpty()) {
-			return Optional
-				.of(LocalResponse.notExecuted(RETRY_AFTER_NO_CONFIGURATION, "no configuration is known yet"));
+			return Optional.of(LocalResponse.notExecuted(spread(RETRY_AFTER_NO_CONFIGURATION, exchange),
+					"no configuration is known yet"));
 		}
 		ServingConfiguration current = this.configuration.get();
 		ClientCall call = exchange.call();
@@ -133,7 +133,7 @@
 			return Optional.empty();
 		}
 		if (!hasFreshKeys()) {
-			return Optional.of(LocalResponse.notExecuted(RETRY_AFTER_OTHER_DAEMON,
+			return Optional.of(LocalResponse.notExecuted(spread(RETRY_AFTER_OTHER_DAEMON, exchange),
 					"keys are " + configurationAgeMillis() + " ms old"));
 		}
 		Optional<String> team = call.key().flatMap((key) -> Optional.ofNullable(current.teamsByKey().get().get(key)));
@@ -145,6 +145,15 @@
 		return Optional.empty();
 	}
 
+	// Prolongs a time by up to a half, differently for each request, so that the clients
+	// of a daemon that starts or stops do not return as one wave.
+	private Duration spread(Duration retryAfter, RelayExchange exchange) {
+		if (!this.settings.waiting().queue()) {
+			return retryAfter;
+		}
+		return retryAfter.plusMillis(Math.floorMod(exchange.call().id().hashCode(), retryAfter.toMillis() / 2));
+	}
+
 	private boolean isRefusedByShutdown(RelayExchange exchange) {
 		return this.refusedFromNanos.isPresent()
 				&& exchange.arrivedAt().monotonicNanos() - this.refusedFromNanos.getAsLong() >= 0;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -40,8 +40,10 @@
 	/** Number of services above which those without any requests are forgotten. */
 	private static final int MAX_IDLE_SERVICES = 256;
 
-	/** Time after which the first of several refused callers may return. */
-	private static final Duration SHORTEST_RETURN = Duration.ofMillis(150);
+	/**
+	 * Time after which the first of several clients refused by full upstreams may return.
+	 */
+	private static final Duration RETRY_AFTER_FULL = Duration.ofMillis(200);
 
 	/** Time between returns until the rate at which requests end is known. */
 	private static final Duration UNKNOWN_INTERVAL = Duration.ofMillis(20);
@@ -143,10 +145,14 @@
 
 	// Returns when the client of a refused request may come back: when room for it is
 	// expected, behind those that were refused before.
-	Duration retryAfter(RelayExchange exchange) {
+	Duration retryAfterFull(RelayExchange exchange) {
+		return retryAfter(exchange, RETRY_AFTER_FULL);
+	}
+
+	private Duration retryAfter(RelayExchange exchange, Duration shortest) {
 		ServiceQueue queue = queue(exchange);
 		long nowNanos = this.clock.nanos();
-		return queue.returns.book(queue.intervalNanos(), exchange.remainingTime(nowNanos), nowNanos);
+		return queue.returns.book(shortest, queue.intervalNanos(), exchange.remainingTime(nowNanos), nowNanos);
 	}
 
 	private ServiceQueue queue(RelayExchange exchange) {
@@ -220,14 +226,14 @@
 			return;
 		}
 		if (this.settings.queue() && !exchange.isReturning() && this.upstreams.room(exchange) == Room.FULL) {
-			refuse(exchange, "upstreams are full", retryAfter(exchange));
+			refuse(exchange, "upstreams are full", retryAfterFull(exchange));
 			return;
 		}
 		if (this.upstreams.start(exchange)) {
 			return;
 		}
 		refuse(exchange, "no upstream can take the request",
-				this.settings.queue() ? retryAfter(exchange) : RETRY_AFTER_NO_UPSTREAM);
+				this.settings.queue() ? retryAfter(exchange, RETRY_AFTER_NO_UPSTREAM) : RETRY_AFTER_NO_UPSTREAM);
 	}
 
 	private void refuse(RelayExchange exchange, String reason, Duration retryAfter) {
@@ -270,7 +276,7 @@
 		private int startsSinceLessUrgent;
 
 		private ServiceQueue(RandomGenerator random) {
-			this.returns = new ReturnSchedule(SHORTEST_RETURN, random);
+			this.returns = new ReturnSchedule(random);
 		}
 
 		// Returns the expected time until room for a request comes free if only the
--- a/mulberrycross/src/test/java/org/mulberrycross/caller/ReturnScheduleTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/caller/ReturnScheduleTest.java
@@ -16,14 +16,14 @@
 
 	private static final double INTERVAL_NANOS = 50e6;
 
-	private final ReturnSchedule schedule = new ReturnSchedule(SHORTEST, new SplittableRandom(1));
+	private final ReturnSchedule schedule = new ReturnSchedule(new SplittableRandom(1));
 
 	/** Fails if callers return faster than room comes free at a known rate. */
 	@Test
 	void callersReturnAtRateOfFreeRoom() {
 		int early = 0;
 		for (int i = 0; i < 40; i++) {
-			Duration delay = this.schedule.book(INTERVAL_NANOS, Duration.ofSeconds(60), 0);
+			Duration delay = this.schedule.book(SHORTEST, INTERVAL_NANOS, Duration.ofSeconds(60), 0);
 			assertThat(delay).isAtLeast(SHORTEST.plusMillis(50 * i));
 			early += (delay.compareTo(Duration.ofSeconds(1)) < 0) ? 1 : 0;
 		}
@@ -34,15 +34,16 @@
 	@Test
 	void neverExceedsThirdOfRemainingTime() {
 		for (int i = 0; i < 40; i++) {
-			assertThat(this.schedule.book(INTERVAL_NANOS, Duration.ofMillis(900), 0)).isAtMost(Duration.ofMillis(300));
+			assertThat(this.schedule.book(SHORTEST, INTERVAL_NANOS, Duration.ofMillis(900), 0))
+				.isAtMost(Duration.ofMillis(300));
 		}
 	}
 
 	/** Fails if an overload that is over still keeps callers away. */
 	@Test
 	void forgetsReturnsThatAreOver() {
-		this.schedule.book(10 * INTERVAL_NANOS, Duration.ofSeconds(60), 0);
-		assertThat(this.schedule.book(INTERVAL_NANOS, Duration.ofSeconds(60), 1_000_000_000))
+		this.schedule.book(SHORTEST, 10 * INTERVAL_NANOS, Duration.ofSeconds(60), 0);
+		assertThat(this.schedule.book(SHORTEST, INTERVAL_NANOS, Duration.ofSeconds(60), 1_000_000_000))
 			.isAtMost(SHORTEST.multipliedBy(2));
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -109,6 +109,22 @@
 		assertThat(selectPath()).containsExactly("other", "another").inOrder();
 	}
 
+	/**
+	 * Fails if requests are sent to engines that turn them away while others would soon
+	 * have room, or wait although some engines hold all layers and have room.
+	 */
+	@Test
+	void roomCountsEnginesThatHoldAllLayersTogether() {
+		assertThat(this.selector.room(this.exchange, 0)).isEqualTo(Room.FREE);
+		this.health.recordSaturation("second", 0);
+		assertThat(this.selector.room(this.exchange, 0)).isEqualTo(Room.FULL);
+		put("other", 4, 10, 134);
+		assertThat(this.selector.room(this.exchange, 0)).isEqualTo(Room.FREE);
+		this.health.recordFailure("other", "reset", 0);
+		this.health.recordFailure("first", "reset", 0);
+		assertThat(this.selector.room(this.exchange, 0)).isEqualTo(Room.UNKNOWN);
+	}
+
 	/**
 	 * Fails if a service rejects requests because each of its first engines has recently
 	 * failed one, or if a stalled engine is preferred to an ejected one.
