--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -1,7 +1,6 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -58,9 +57,6 @@
 	/** Number of daemons assumed until they have been counted. */
 	static final int DEFAULT_DAEMON_COUNT = 8;
 
-	/** Maximum wait for the first configuration, which usually arrives within 0.1 s. */
-	private static final Duration MAX_CONFIGURATION_WAIT = Duration.ofMillis(250);
-
 	private final ControlThread controlThread;
 
 	private final MonotonicClock clock;
@@ -95,11 +91,6 @@
 
 	private final WaitingRequests waiting;
 
-	/** The requests that arrived before the first configuration. */
-	private final List<RelayExchange> unconfigured = new ArrayList<>();
-
-	private WaitingSettings waitingSettings;
-
 	private int daemonCount = DEFAULT_DAEMON_COUNT;
 
 	RelayControl(ControlThread controlThread, MonotonicClock clock, RandomGenerator random, RelaySettings settings,
@@ -111,15 +102,15 @@
 		this.client = Objects.requireNonNull(client, "client");
 		Objects.requireNonNull(engineProber, "engineProber");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
-		this.waitingSettings = settings.waiting();
 		this.admission = new RequestAdmission(settings, clock);
 		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
 				(engineId, own, nowNanos) -> own.times(this.daemonCount));
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock, this::handleSentEnded);
-		this.waiting = new WaitingRequests(settings.waiting(), new SelectedUpstreams(), this.inFlight::fail, metrics,
-				clock, random);
+		this.waiting = new WaitingRequests(settings.waiting(),
+				new WaitingRequests.Upstreams(this.selector::room, this::sendOrReject, () -> this.daemonCount),
+				this.inFlight::fail, metrics, clock, random);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
 				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt);
 		this.crashTracker = new CrashTracker(clock,
@@ -165,7 +156,6 @@
 		this.controlThread.post(() -> {
 			this.admission.reload(changed);
 			this.retryBudgets.reload(changed);
-			this.waitingSettings = changed.waiting();
 			this.waiting.reload(changed.waiting());
 		});
 	}
@@ -193,7 +183,7 @@
 		this.controlThread.assertOnControlThread();
 		if (this.admission.apply(configuration)) {
 			this.selector.configure(configuration);
-			admitUnconfigured();
+			this.admission.takeHeld().forEach(this::admitOrWait);
 		}
 	}
 
@@ -241,9 +231,7 @@
 	}
 
 	private void admitOrWait(RelayExchange exchange) {
-		boolean unconfigured = configuration().isEmpty();
-		if (unconfigured && exchange.age(this.clock.nanos()).compareTo(MAX_CONFIGURATION_WAIT) < 0) {
-			this.unconfigured.add(exchange);
+		if (this.admission.hold(exchange)) {
 			return;
 		}
 		Optional<LocalResponse> rejection = this.admission.admit(exchange);
@@ -255,13 +243,6 @@
 		this.waiting.submit(exchange);
 	}
 
-	// Admits the requests that have waited for the first configuration.
-	private void admitUnconfigured() {
-		List<RelayExchange> arrived = List.copyOf(this.unconfigured);
-		this.unconfigured.clear();
-		arrived.stream().filter((exchange) -> !exchange.isFinished()).forEach(this::admitOrWait);
-	}
-
 	private void handleSentEnded(RelayExchange exchange) {
 		this.waiting.recordEnd(exchange);
 	}
@@ -295,8 +276,7 @@
 			return false;
 		}
 		Optional<Forwarding> forwarding = this.selector.select(exchange, remaining, nowNanos)
-			.map((chosen) -> this.waitingSettings.forwardPriority() ? chosen.withPriority(exchange.priority())
-					: chosen);
+			.map((chosen) -> this.waiting.withRank(chosen, exchange));
 		if (forwarding.isEmpty()) {
 			return false;
 		}
@@ -384,8 +364,7 @@
 	// Returns when a client may come back after its request was rejected by an upstream.
 	private Duration retryAfterRejection(RelayExchange exchange) {
 		return this.selector.untilRestEnds(exchange.rule(), this.clock.nanos())
-			.orElseGet(() -> this.waitingSettings.queue() ? this.waiting.retryAfterFull(exchange)
-					: InFlightRequests.RETRY_AFTER_BUSY);
+			.orElseGet(() -> this.waiting.retryAfterFull(exchange));
 	}
 
 	// Ejects the engine that caused the rejection, or the upstream if no engine is named.
@@ -521,7 +500,7 @@
 		long nowNanos = this.clock.nanos();
 		this.directory.removeExpired(nowNanos);
 		this.admission.updateReadiness();
-		admitUnconfigured();
+		this.admission.takeHeld().forEach(this::admitOrWait);
 		this.waiting.check();
 		this.attemptMonitor.check(nowNanos);
 	}
@@ -534,24 +513,4 @@
 				&& this.retryBudgets.hasRetry(exchange.rule(), this.clock.nanos());
 	}
 
-	/** Answers the queue from the routing state. */
-	private final class SelectedUpstreams implements WaitingRequests.Upstreams {
-
-		@Override
-		public Room room(RelayExchange exchange) {
-			return RelayControl.this.selector.room(exchange, RelayControl.this.clock.nanos());
-		}
-
-		@Override
-		public boolean start(RelayExchange exchange) {
-			return sendOrReject(exchange);
-		}
-
-		@Override
-		public int daemonCount() {
-			return RelayControl.this.daemonCount;
-		}
-
-	}
-
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -1,6 +1,8 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -32,8 +34,14 @@
 	/** Retry-After value if another daemon may serve the request. */
 	private static final Duration RETRY_AFTER_OTHER_DAEMON = Duration.ofMillis(300);
 
+	/** Maximum wait for the first configuration, which usually arrives within 0.1 s. */
+	private static final Duration MAX_CONFIGURATION_WAIT = Duration.ofMillis(250);
+
 	private final MonotonicClock clock;
 
+	/** The requests that wait for the first configuration. */
+	private final List<RelayExchange> held = new ArrayList<>();
+
 	private RelaySettings settings;
 
 	private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -110,6 +118,20 @@
 		updateReadiness();
 	}
 
+	// Holds a request that has arrived shortly before the first configuration, and
+	// returns whether it did.
+	boolean hold(RelayExchange exchange) {
+		return this.configuration.isEmpty() && exchange.age(this.clock.nanos()).compareTo(MAX_CONFIGURATION_WAIT) < 0
+				&& this.held.add(exchange);
+	}
+
+	// Returns the held requests that have not ended, which are no longer held.
+	List<RelayExchange> takeHeld() {
+		List<RelayExchange> taken = this.held.stream().filter((exchange) -> !exchange.isFinished()).toList();
+		this.held.clear();
+		return taken;
+	}
+
 	// Admits a request, or returns the response that rejects it.
 	Optional<LocalResponse> admit(RelayExchange exchange) {
 		if (isRefusedByShutdown(exchange)) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -105,7 +107,8 @@
 		RankedQueue.Ticket<RelayExchange> ticket = queue.waiting.add(rank(exchange), exchange.team().orElse(""), 1,
 				nowNanos + wait.toNanos(), exchange);
 		changeSize(ticket, 1);
-		if (this.settings.queue() && queue.expectedWaitNanos(ticket) / this.upstreams.daemonCount() > wait.toNanos()) {
+		if (this.settings.queue() && queue.expectedWaitNanos(ticket)
+				/ Math.max(1, this.upstreams.daemonCount().getAsInt()) > wait.toNanos()) {
 			remove(queue, ticket);
 			endWait(queue, exchange);
 		}
@@ -146,7 +149,12 @@
 	// Returns when the client of a refused request may come back: when room for it is
 	// expected, behind those that were refused before.
 	Duration retryAfterFull(RelayExchange exchange) {
-		return retryAfter(exchange, RETRY_AFTER_FULL);
+		return this.settings.queue() ? retryAfter(exchange, RETRY_AFTER_FULL) : InFlightRequests.RETRY_AFTER_BUSY;
+	}
+
+	// Adds the rank of a request to what its upstream is sent, if the settings say so.
+	Forwarding withRank(Forwarding forwarding, RelayExchange exchange) {
+		return this.settings.forwardPriority() ? forwarding.withPriority(exchange.priority()) : forwarding;
 	}
 
 	private Duration retryAfter(RelayExchange exchange, Duration shortest) {
@@ -173,14 +181,18 @@
 		return 2 * priority + (exchange.isReturning() ? 0 : 1);
 	}
 
+	private Room room(RelayExchange exchange) {
+		return this.upstreams.roomCheck().room(exchange, this.clock.nanos());
+	}
+
 	private boolean tryStart(ServiceQueue queue, RelayExchange exchange) {
 		if (this.settings.queue()) {
-			Room room = this.upstreams.room(exchange);
+			Room room = room(exchange);
 			if (room == Room.BUSY || room == Room.FULL) {
 				return false;
 			}
 		}
-		return this.upstreams.start(exchange);
+		return this.upstreams.starter().test(exchange);
 	}
 
 	private void startWaiting(ServiceQueue queue) {
@@ -225,11 +237,11 @@
 		if (exchange.isFinished()) {
 			return;
 		}
-		if (this.settings.queue() && !exchange.isReturning() && this.upstreams.room(exchange) == Room.FULL) {
+		if (this.settings.queue() && !exchange.isReturning() && room(exchange) == Room.FULL) {
 			refuse(exchange, "upstreams are full", retryAfterFull(exchange));
 			return;
 		}
-		if (this.upstreams.start(exchange)) {
+		if (this.upstreams.starter().test(exchange)) {
 			return;
 		}
 		refuse(exchange, "no upstream can take the request",
@@ -241,18 +253,23 @@
 		this.refusal.refuse(exchange, reason, retryAfter);
 	}
 
-	/** The upstreams, as far as the queue needs them. */
-	interface Upstreams {
+	/**
+	 * What the queue needs of the upstreams.
+	 *
+	 * @param roomCheck returns whether there is room for a request at a time
+	 * @param starter sends or ends a request; false if no upstream is eligible, in which
+	 * case nothing has happened
+	 * @param daemonCount the number of daemons, whose requests make room as well
+	 */
+	record Upstreams(RoomCheck roomCheck, Predicate<RelayExchange> starter, IntSupplier daemonCount) {
 
-		// Returns whether there is room for a request now.
-		Room room(RelayExchange exchange);
+	}
 
-		// Sends or ends a request. Returns false if no upstream is eligible, in which
-		// case nothing has happened.
-		boolean start(RelayExchange exchange);
+	/** Tells whether upstreams have room. */
+	@FunctionalInterface
+	interface RoomCheck {
 
-		// Returns the number of daemons, whose requests make room as well, at least 1.
-		int daemonCount();
+		Room room(RelayExchange exchange, long nowNanos);
 
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
@@ -28,7 +28,7 @@
  * Requests that compete for too few slots, with times set by the test. The upstreams have
  * room while fewer than {@code slots} requests run.
  */
-class WaitingRequestsTest implements WaitingRequests.Upstreams {
+class WaitingRequestsTest {
 
 	private static final long MILLI = 1_000_000;
 
@@ -46,17 +46,16 @@
 
 	private long nowNanos;
 
-	private final WaitingRequests waiting = new WaitingRequests(SETTINGS, this,
+	private final WaitingRequests waiting = new WaitingRequests(SETTINGS,
+			new WaitingRequests.Upstreams(this::room, this::start, () -> 1),
 			(exchange, reason, retryAfter) -> this.refused.put(exchange.call().id(), retryAfter),
 			new RelayMetrics(new MetricRegistry()), () -> this.nowNanos, new SplittableRandom(1));
 
-	@Override
-	public Room room(RelayExchange exchange) {
+	private Room room(RelayExchange exchange, long checkNanos) {
 		return (this.running.size() < this.slots) ? Room.FREE : this.roomWithoutSlots;
 	}
 
-	@Override
-	public boolean start(RelayExchange exchange) {
+	private boolean start(RelayExchange exchange) {
 		if (this.roomWithoutSlots == Room.UNKNOWN && this.running.size() >= this.slots) {
 			return false;
 		}
@@ -66,11 +65,6 @@
 		return true;
 	}
 
-	@Override
-	public int daemonCount() {
-		return 1;
-	}
-
 	private void submit(String id, int priority, String team, long timeoutMillis) {
 		RouteRule rule = new RouteRule("route-" + priority, "host", "/", RouteKind.STREAM, Duration.ofSeconds(20),
 				Duration.ofMillis(800), 2, priority, false, true, List.of(new WeightedService("model", 1)));
