Send clients that another daemon can serve there at once

A daemon that stops, or whose keys are old, told clients to return after 300 ms, which alone misses the target latency of plain services (142 ms) and most of that of streams. Nothing has to come free for these clients, so with admission.queue they return after 20 to 30 ms.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -34,6 +34,13 @@
 	/** Retry-After value if another daemon may serve the request. */
 	private static final Duration RETRY_AFTER_OTHER_DAEMON = Duration.ofMillis(300);
 
+	/**
+	 * Retry-After value if another daemon may serve the request and returns are spread:
+	 * nothing has to come free first, and a client that waits for 300 ms misses target
+	 * latencies of plain services.
+	 */
+	private static final Duration SHORT_RETRY_AFTER_OTHER_DAEMON = Duration.ofMillis(20);
+
 	/** Maximum wait for the first configuration, which usually arrives within 0.1 s. */
 	private static final Duration MAX_CONFIGURATION_WAIT = Duration.ofMillis(250);
 
@@ -135,7 +142,7 @@
 	// Admits a request, or returns the response that rejects it.
 	Optional<LocalResponse> admit(RelayExchange exchange) {
 		if (isRefusedByShutdown(exchange)) {
-			return Optional.of(LocalResponse.notExecuted(spread(RETRY_AFTER_OTHER_DAEMON, exchange), "daemon stops"));
+			return Optional.of(LocalResponse.notExecuted(retryAfterOtherDaemon(exchange), "daemon stops"));
 		}
 		if (this.configuration.isEmpty()) {
 			return Optional.of(LocalResponse.notExecuted(spread(RETRY_AFTER_NO_CONFIGURATION, exchange),
@@ -155,7 +162,7 @@
 			return Optional.empty();
 		}
 		if (!hasFreshKeys()) {
-			return Optional.of(LocalResponse.notExecuted(spread(RETRY_AFTER_OTHER_DAEMON, exchange),
+			return Optional.of(LocalResponse.notExecuted(retryAfterOtherDaemon(exchange),
 					"keys are " + configurationAgeMillis() + " ms old"));
 		}
 		Optional<String> team = call.key().flatMap((key) -> Optional.ofNullable(current.teamsByKey().get().get(key)));
@@ -167,6 +174,11 @@
 		return Optional.empty();
 	}
 
+	private Duration retryAfterOtherDaemon(RelayExchange exchange) {
+		return spread(this.settings.waiting().queue() ? SHORT_RETRY_AFTER_OTHER_DAEMON : RETRY_AFTER_OTHER_DAEMON,
+				exchange);
+	}
+
 	// Prolongs a time by up to a half, differently for each request, so that the clients
 	// of a daemon that starts or stops do not return as one wave.
 	private Duration spread(Duration retryAfter, RelayExchange exchange) {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
@@ -1,10 +1,12 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
@@ -45,11 +47,14 @@
 	}
 
 	private Optional<Integer> rejectionStatus(String path, long arrivalNanos) {
-		RelayExchange exchange = new RelayExchange(
-				new RelayRequest("GET", path, Headers.of(List.of()), new byte[0]), new ClientCall("id", "host", path,
+		return this.admission.admit(exchange("id", path, arrivalNanos)).map(LocalResponse::status);
+	}
+
+	private static RelayExchange exchange(String id, String path, long arrivalNanos) {
+		return new RelayExchange(
+				new RelayRequest("GET", path, Headers.of(List.of()), new byte[0]), new ClientCall(id, "host", path,
 						Optional.empty(), Optional.empty(), 0, 0, OptionalLong.empty(), List.of()),
 				new RecordingWriter(), new ClockReading(arrivalNanos, System.currentTimeMillis()));
-		return this.admission.admit(exchange).map(LocalResponse::status);
 	}
 
 	/**
@@ -84,4 +89,28 @@
 		assertThat(rejectionStatus("/a/", refuseFromNanos)).isEqualTo(Optional.of(503));
 	}
 
+	/**
+	 * Fails if the clients of a daemon that stops return to the others as one wave, or
+	 * too late for their target latency.
+	 */
+	@Test
+	void spreadsReturnsToOtherDaemons() {
+		RelaySettings waiting = new RelaySettings(SETTINGS.name(), SETTINGS.dataCentre(), SETTINGS.callerAddress(),
+				SETTINGS.readinessAddress(), SETTINGS.platformAddress(), SETTINGS.revocationLimit(),
+				SETTINGS.propagationLimits(), SETTINGS.shutdownGrace(), SETTINGS.retryRatio(), SETTINGS.retryBurst(),
+				SETTINGS.retryWindow(), new WaitingSettings(true, true, 1));
+		this.admission.apply(configuration(1, "/a/"));
+		this.admission.reload(waiting);
+		this.admission.startDraining(System.nanoTime());
+		Set<Duration> returns = new HashSet<>();
+		for (int i = 0; i < 20; i++) {
+			Duration retryAfter = this.admission.admit(exchange("id-" + i, "/a/", System.nanoTime()))
+				.orElseThrow()
+				.retryAfter();
+			assertThat(retryAfter).isAtMost(Duration.ofMillis(30));
+			returns.add(retryAfter);
+		}
+		assertThat(returns.size()).isAtLeast(5);
+	}
+
 }
