Wait only for room that this daemon's own requests make

A request now waits only if requests of its own daemon are expected to end in time; otherwise it is sent or, if engines are known to be full, refused at once. The times at which refused clients return have a setting of their own, admission.spread_returns.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -109,8 +109,8 @@
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock, this::handleSentEnded);
 		this.waiting = new WaitingRequests(settings.waiting(),
-				new WaitingRequests.Upstreams(this.selector::room, this::sendOrReject, () -> this.daemonCount),
-				this.inFlight::fail, metrics, clock, random);
+				new WaitingRequests.Upstreams(this.selector::room, this::sendOrReject), this.inFlight::fail, metrics,
+				clock, random);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
 				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt);
 		this.crashTracker = new CrashTracker(clock,
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -175,14 +175,15 @@
 	}
 
 	private Duration retryAfterOtherDaemon(RelayExchange exchange) {
-		return spread(this.settings.waiting().queue() ? SHORT_RETRY_AFTER_OTHER_DAEMON : RETRY_AFTER_OTHER_DAEMON,
+		return spread(
+				this.settings.waiting().spreadReturns() ? SHORT_RETRY_AFTER_OTHER_DAEMON : RETRY_AFTER_OTHER_DAEMON,
 				exchange);
 	}
 
 	// Prolongs a time by up to a half, differently for each request, so that the clients
 	// of a daemon that starts or stops do not return as one wave.
 	private Duration spread(Duration retryAfter, RelayExchange exchange) {
-		if (!this.settings.waiting().queue()) {
+		if (!this.settings.waiting().spreadReturns()) {
 			return retryAfter;
 		}
 		return retryAfter.plusMillis(Math.floorMod(exchange.call().id().hashCode(), retryAfter.toMillis() / 2));
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -107,8 +106,7 @@
 		RankedQueue.Ticket<RelayExchange> ticket = queue.waiting.add(rank(exchange), exchange.team().orElse(""), 1,
 				nowNanos + wait.toNanos(), exchange);
 		changeSize(ticket, 1);
-		if (this.settings.queue() && queue.expectedWaitNanos(ticket)
-				/ Math.max(1, this.upstreams.daemonCount().getAsInt()) > wait.toNanos()) {
+		if (this.settings.queue() && queue.expectedWaitNanos(ticket) > wait.toNanos()) {
 			remove(queue, ticket);
 			endWait(queue, exchange);
 		}
@@ -149,7 +147,8 @@
 	// Returns when the client of a refused request may come back: when room for it is
 	// expected, behind those that were refused before.
 	Duration retryAfterFull(RelayExchange exchange) {
-		return this.settings.queue() ? retryAfter(exchange, RETRY_AFTER_FULL) : InFlightRequests.RETRY_AFTER_BUSY;
+		return this.settings.spreadReturns() ? retryAfter(exchange, RETRY_AFTER_FULL)
+				: InFlightRequests.RETRY_AFTER_BUSY;
 	}
 
 	// Adds the rank of a request to what its upstream is sent, if the settings say so.
@@ -244,8 +243,8 @@
 		if (this.upstreams.starter().test(exchange)) {
 			return;
 		}
-		refuse(exchange, "no upstream can take the request",
-				this.settings.queue() ? retryAfter(exchange, RETRY_AFTER_NO_UPSTREAM) : RETRY_AFTER_NO_UPSTREAM);
+		refuse(exchange, "no upstream can take the request", this.settings.spreadReturns()
+				? retryAfter(exchange, RETRY_AFTER_NO_UPSTREAM) : RETRY_AFTER_NO_UPSTREAM);
 	}
 
 	private void refuse(RelayExchange exchange, String reason, Duration retryAfter) {
@@ -259,9 +258,8 @@
 	 * @param roomCheck returns whether there is room for a request at a time
 	 * @param starter sends or ends a request; false if no upstream is eligible, in which
 	 * case nothing has happened
-	 * @param daemonCount the number of daemons, whose requests make room as well
 	 */
-	record Upstreams(RoomCheck roomCheck, Predicate<RelayExchange> starter, IntSupplier daemonCount) {
+	record Upstreams(RoomCheck roomCheck, Predicate<RelayExchange> starter) {
 
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingSettings.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingSettings.java
@@ -6,20 +6,23 @@
  * @param queue whether requests that no upstream has room for wait by rank and team; if
  * false, they are sent to the least loaded upstream at once
  * @param forwardPriority whether upstreams are told the rank of each request
+ * @param spreadReturns whether refused clients are told times to return that follow one
+ * another as room comes free; if false, all are told the same time
  * @param maxWaiting the maximum number of waiting requests, at least 1
  */
-public record WaitingSettings(boolean queue, boolean forwardPriority, int maxWaiting) {
+public record WaitingSettings(boolean queue, boolean forwardPriority, boolean spreadReturns, int maxWaiting) {
 
 	/** The default for the maximum number of waiting requests. */
 	static final int DEFAULT_MAX_WAITING = 512;
 
 	/** No request waits for room, and upstreams are told no rank. */
-	public static final WaitingSettings OFF = new WaitingSettings(false, false, DEFAULT_MAX_WAITING);
+	public static final WaitingSettings OFF = new WaitingSettings(false, false, false, DEFAULT_MAX_WAITING);
 
 	/**
 	 * Creates settings.
 	 * @param queue whether requests wait for room by rank and team
 	 * @param forwardPriority whether upstreams are told the rank of each request
+	 * @param spreadReturns whether refused clients return one after the other
 	 * @param maxWaiting the maximum number of waiting requests
 	 */
 	public WaitingSettings {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
@@ -32,7 +32,7 @@
 
 	private static final long MILLI = 1_000_000;
 
-	private static final WaitingSettings SETTINGS = new WaitingSettings(true, true, 8);
+	private static final WaitingSettings SETTINGS = new WaitingSettings(true, true, true, 8);
 
 	private final Deque<RelayExchange> running = new ArrayDeque<>();
 
@@ -47,7 +47,7 @@
 	private long nowNanos;
 
 	private final WaitingRequests waiting = new WaitingRequests(SETTINGS,
-			new WaitingRequests.Upstreams(this::room, this::start, () -> 1),
+			new WaitingRequests.Upstreams(this::room, this::start),
 			(exchange, reason, retryAfter) -> this.refused.put(exchange.call().id(), retryAfter),
 			new RelayMetrics(new MetricRegistry()), () -> this.nowNanos, new SplittableRandom(1));
 
