--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -364,7 +364,7 @@
 	// Returns when a client may come back after its request was rejected by an upstream.
 	private Duration retryAfterRejection(RelayExchange exchange) {
 		return this.selector.untilRestEnds(exchange.rule(), this.clock.nanos())
-			.orElseGet(() -> this.waiting.retryAfterFull(exchange));
+			.orElseGet(() -> this.waiting.retryAfterRejection(exchange));
 	}
 
 	// Ejects the engine that caused the rejection, or the upstream if no engine is named.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -49,6 +49,13 @@
 	/** Time between returns until the rate at which requests end is known. */
 	private static final Duration UNKNOWN_INTERVAL = Duration.ofMillis(20);
 
+	/**
+	 * Shortest time after which a client may return whose request an upstream turned away
+	 * while others have room. A second try then still meets target latencies of half a
+	 * second.
+	 */
+	private static final Duration RETRY_AFTER_REJECTION = Duration.ofMillis(100);
+
 	/** Retry-After value if no upstream is eligible, for example while layers load. */
 	private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(1000);
 
@@ -144,11 +151,17 @@
 		}
 	}
 
-	// Returns when the client of a refused request may come back: when room for it is
-	// expected, behind those that were refused before.
-	Duration retryAfterFull(RelayExchange exchange) {
-		return this.settings.spreadReturns() ? retryAfter(exchange, RETRY_AFTER_FULL)
-				: InFlightRequests.RETRY_AFTER_BUSY;
+	// Returns when the client of a request that an upstream turned away may come back:
+	// soon if others have room, and otherwise when room is expected, behind those that
+	// were refused before.
+	Duration retryAfterRejection(RelayExchange exchange) {
+		if (!this.settings.spreadReturns()) {
+			return InFlightRequests.RETRY_AFTER_BUSY;
+		}
+		if (room(exchange) == Room.FULL) {
+			return retryAfter(exchange, RETRY_AFTER_FULL);
+		}
+		return RETRY_AFTER_REJECTION.plusMillis(this.random.nextLong(RETRY_AFTER_REJECTION.toMillis() / 2));
 	}
 
 	// Adds the rank of a request to what its upstream is sent, if the settings say so.
@@ -237,7 +250,7 @@
 			return;
 		}
 		if (this.settings.queue() && !exchange.isReturning() && room(exchange) == Room.FULL) {
-			refuse(exchange, "upstreams are full", retryAfterFull(exchange));
+			refuse(exchange, "upstreams are full", retryAfterRejection(exchange));
 			return;
 		}
 		if (this.upstreams.starter().test(exchange)) {
