Book the returns of rejected clients also if the engines' room is unknown

The engines that turned a request away do not count among its upstreams any more, so that a service whose few engines of some layers are all full looked unlisted, and its clients returned at once.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -158,10 +158,11 @@
 		if (!this.settings.spreadReturns()) {
 			return InFlightRequests.RETRY_AFTER_BUSY;
 		}
-		if (room(exchange) == Room.FULL) {
-			return retryAfter(exchange, RETRY_AFTER_FULL);
+		Room room = room(exchange);
+		if (room == Room.FREE || room == Room.BUSY) {
+			return RETRY_AFTER_REJECTION.plusMillis(this.random.nextLong(RETRY_AFTER_REJECTION.toMillis() / 2));
 		}
-		return RETRY_AFTER_REJECTION.plusMillis(this.random.nextLong(RETRY_AFTER_REJECTION.toMillis() / 2));
+		return retryAfter(exchange, RETRY_AFTER_FULL);
 	}
 
 	// Adds the rank of a request to what its upstream is sent, if the settings say so.
