--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -54,7 +54,7 @@
 	 * while others have room. A second try then still meets target latencies of half a
 	 * second.
 	 */
-	private static final Duration RETRY_AFTER_REJECTION = Duration.ofMillis(100);
+	private static final Duration RETRY_AFTER_REJECTION = Duration.ofMillis(200);
 
 	/** Retry-After value if no upstream is eligible, for example while layers load. */
 	private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(1000);
