Serve requests as before while the admission settings are off

Without any setting, requests without an eligible upstream waited behind the first one of their service, at most 512 of them, were tried again at the end of other requests, and instances of plain services were chosen by slots with a random start. The queue had replaced the list of waiting requests and the choice of instances for all daemons.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -105,6 +105,7 @@
 		this.admission = new RequestAdmission(settings, clock);
 		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
 				(engineId, own, nowNanos) -> own.times(this.daemonCount));
+		this.selector.reload(settings.waiting());
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock, this::handleSentEnded);
@@ -157,6 +158,7 @@
 			this.admission.reload(changed);
 			this.retryBudgets.reload(changed);
 			this.waiting.reload(changed.waiting());
+			this.selector.reload(changed.waiting());
 		});
 	}
 
@@ -183,7 +185,6 @@
 		this.controlThread.assertOnControlThread();
 		if (this.admission.apply(configuration)) {
 			this.selector.configure(configuration);
-			this.admission.takeHeld().forEach(this::admitOrWait);
 		}
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
@@ -72,6 +72,7 @@
 				MAX_RETRY_WINDOW_SECONDS);
 		WaitingSettings waiting = new WaitingSettings(file.flag("admission.queue", false),
 				file.flag("admission.forward_priority", false), file.flag("admission.spread_returns", false),
+				file.flag("admission.balance_by_slots", false),
 				file.integer("admission.max_waiting", WaitingSettings.DEFAULT_MAX_WAITING, 1, MAX_MAX_WAITING));
 		file.throwIfInvalid();
 		return new RelaySettings(name.orElseThrow(), dataCentre.orElseThrow(), callerAddress.orElseThrow(),
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -60,6 +60,8 @@
 
 	private final OutstandingWork outstandingWork;
 
+	private boolean balanceBySlots;
+
 	UpstreamSelector(UpstreamDirectory directory, UpstreamHealth health, EngineSlowdowns slowdowns, String dataCentre,
 			RandomGenerator random, OutstandingWork outstandingWork) {
 		this.directory = directory;
@@ -70,6 +72,10 @@
 		this.outstandingWork = outstandingWork;
 	}
 
+	void reload(WaitingSettings changed) {
+		this.balanceBySlots = changed.balanceBySlots();
+	}
+
 	void configure(ServingConfiguration configuration) {
 		this.pathFinders.clear();
 		this.profiles.clear();
@@ -184,7 +190,8 @@
 	private Optional<UpstreamInstance> selectInstance(RelayExchange exchange, String service, long nowNanos) {
 		Comparator<UpstreamInstance> leastLoaded = Comparator
 			.comparing((UpstreamInstance instance) -> this.health.isEjected(instance.id(), nowNanos))
-			.thenComparing((instance) -> slotUse(instance, nowNanos))
+			.thenComparing((instance) -> this.balanceBySlots ? slotUse(instance, nowNanos)
+					: this.load.at(instance.id()).requests())
 			.thenComparing((instance) -> !instance.dataCentre().equals(this.dataCentre));
 		List<UpstreamInstance> instances = new ArrayList<>();
 		eligibleEntries(service, nowNanos).stream()
@@ -192,7 +199,7 @@
 			.filter((instance) -> !exchange.failedUpstreams().contains(instance.id()))
 			.forEach(instances::add);
 		// All daemons list the instances in the same order, so each one begins elsewhere.
-		if (!instances.isEmpty()) {
+		if (this.balanceBySlots && !instances.isEmpty()) {
 			Collections.rotate(instances, this.random.nextInt(instances.size()));
 		}
 		return instances.stream().min(leastLoaded);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -1,6 +1,8 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -71,6 +73,9 @@
 
 	private final Map<String, ServiceQueue> queues = new HashMap<>();
 
+	/** Requests without an eligible upstream if the queue is off, in order of arrival. */
+	private final Deque<RelayExchange> unranked = new ArrayDeque<>();
+
 	private final ReturningCallers returningCallers = new ReturningCallers();
 
 	private WaitingSettings settings;
@@ -92,20 +97,23 @@
 	}
 
 	int size() {
-		return this.size;
+		return this.size + this.unranked.size();
 	}
 
 	// Starts an admitted request, lets it wait or refuses it.
 	void submit(RelayExchange exchange) {
+		if (!this.settings.queue()) {
+			startOrRetryLater(exchange);
+			return;
+		}
 		long nowNanos = this.clock.nanos();
 		exchange.setReturning(this.returningCallers.record(exchange));
 		ServiceQueue queue = queue(exchange);
-		boolean isBehind = this.settings.queue() && queue.waiting.sizeUpTo(rank(exchange)) > 0;
+		boolean isBehind = queue.waiting.sizeUpTo(rank(exchange)) > 0;
 		if (!isBehind && tryStart(queue, exchange)) {
 			return;
 		}
-		Duration maxWait = exchange.rule().targetLatency().dividedBy(TARGET_LATENCY_WAIT_DIVISOR);
-		Duration wait = maxWait.minus(exchange.age(nowNanos));
+		Duration wait = maxWait(exchange).minus(exchange.age(nowNanos));
 		if (wait.isNegative() || wait.isZero() || this.size >= this.settings.maxWaiting()) {
 			endWait(queue, exchange);
 			return;
@@ -113,12 +121,29 @@
 		RankedQueue.Ticket<RelayExchange> ticket = queue.waiting.add(rank(exchange), exchange.team().orElse(""), 1,
 				nowNanos + wait.toNanos(), exchange);
 		changeSize(ticket, 1);
-		if (this.settings.queue() && queue.expectedWaitNanos(ticket) > wait.toNanos()) {
+		if (queue.expectedWaitNanos(ticket) > wait.toNanos()) {
 			remove(queue, ticket);
 			endWait(queue, exchange);
 		}
 	}
 
+	// Without the queue, a request is tried again at each check, in order of arrival and
+	// whatever becomes of those before it.
+	private void startOrRetryLater(RelayExchange exchange) {
+		if (this.upstreams.starter().test(exchange)) {
+			return;
+		}
+		if (exchange.age(this.clock.nanos()).compareTo(maxWait(exchange)) < 0) {
+			this.unranked.add(exchange);
+			return;
+		}
+		refuseWithoutUpstream(exchange);
+	}
+
+	private static Duration maxWait(RelayExchange exchange) {
+		return exchange.rule().targetLatency().dividedBy(TARGET_LATENCY_WAIT_DIVISOR);
+	}
+
 	// Records that a request was sent for the first time.
 	void recordStart(RelayExchange exchange) {
 		queue(exchange).rate.adjustRunning(1);
@@ -135,6 +160,11 @@
 	// Starts requests that have room now and ends the wait of those that waited long
 	// enough.
 	void check() {
+		for (int i = this.unranked.size(); i > 0; i--) {
+			Optional.of(this.unranked.remove())
+				.filter((exchange) -> !exchange.isFinished())
+				.ifPresent(this::startOrRetryLater);
+		}
 		long nowNanos = this.clock.nanos();
 		for (ServiceQueue queue : List.copyOf(this.queues.values())) {
 			startWaiting(queue);
@@ -185,11 +215,7 @@
 		return this.queues.computeIfAbsent(services, (key) -> new ServiceQueue(this.random));
 	}
 
-	// Without the setting, all requests have the same rank.
-	private int rank(RelayExchange exchange) {
-		if (!this.settings.queue()) {
-			return 0;
-		}
+	private static int rank(RelayExchange exchange) {
 		int priority = Math.max(0, Math.min(PRIORITIES - 1, exchange.priority()));
 		return 2 * priority + (exchange.isReturning() ? 0 : 1);
 	}
@@ -257,6 +283,10 @@
 		if (this.upstreams.starter().test(exchange)) {
 			return;
 		}
+		refuseWithoutUpstream(exchange);
+	}
+
+	private void refuseWithoutUpstream(RelayExchange exchange) {
 		refuse(exchange, "no upstream can take the request", this.settings.spreadReturns()
 				? retryAfter(exchange, RETRY_AFTER_NO_UPSTREAM) : RETRY_AFTER_NO_UPSTREAM);
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelaySettingsReaderTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelaySettingsReaderTest.java
@@ -34,9 +34,9 @@
 	@Test
 	void requestsDoNotWaitByDefault() throws SettingsException {
 		assertThat(waiting("")).isEqualTo(WaitingSettings.OFF);
-		assertThat(
-				waiting("[admission]\nqueue = true\nforward_priority = true\nspread_returns = true\nmax_waiting = 7"))
-			.isEqualTo(new WaitingSettings(true, true, true, 7));
+		assertThat(waiting(
+				"[admission]\nqueue = true\nforward_priority = true\nspread_returns = true\nbalance_by_slots = true\nmax_waiting = 7"))
+			.isEqualTo(new WaitingSettings(true, true, true, true, 7));
 	}
 
 	/** Fails if a daemon starts with settings that are wrong. */
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
@@ -98,7 +98,7 @@
 		RelaySettings waiting = new RelaySettings(SETTINGS.name(), SETTINGS.dataCentre(), SETTINGS.callerAddress(),
 				SETTINGS.readinessAddress(), SETTINGS.platformAddress(), SETTINGS.revocationLimit(),
 				SETTINGS.propagationLimits(), SETTINGS.shutdownGrace(), SETTINGS.retryRatio(), SETTINGS.retryBurst(),
-				SETTINGS.retryWindow(), new WaitingSettings(true, true, true, 1));
+				SETTINGS.retryWindow(), new WaitingSettings(true, true, true, true, 1));
 		this.admission.apply(configuration(1, "/a/"));
 		this.admission.reload(waiting);
 		this.admission.startDraining(System.nanoTime());
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -217,4 +217,29 @@
 		assertThat(selectPath()).containsExactly("first", "second").inOrder();
 	}
 
+	/**
+	 * Fails if instances of plain services are chosen at random or by their slots without
+	 * the setting, or by the number of requests alone with it.
+	 */
+	@Test
+	void slotsCountForPlainServicesOnlyBySetting() {
+		this.selector.configure(new ServingConfiguration(2, RouteTable.of(List.of(RULE)), Optional.empty(), Map.of(),
+				Map.of("model", "/"), new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1))));
+		Forwarding before = this.selector.select(this.exchange, Duration.ofSeconds(5), 0).orElseThrow();
+		for (int i = 0; i < 20; i++) {
+			assertThat(this.selector.select(this.exchange, Duration.ofSeconds(5), 0)).isEqualTo(Optional.of(before));
+		}
+		String other = before.upstream().id().equals("first") ? "second" : "first";
+		put(other, 0, 5, 1);
+		for (int i = 0; i < 3; i++) {
+			Forwarding chosen = this.selector.select(this.exchange, Duration.ofSeconds(5), 0).orElseThrow();
+			assertThat(chosen.upstream().id()).isEqualTo((i == 1) ? other : before.upstream().id());
+			this.selector.recordSent(new RelayAttempt(this.exchange, chosen, null, null, new RequestTokens(1, 1),
+					new ResponseBuffers()));
+		}
+		this.selector.reload(new WaitingSettings(false, false, false, true, 1));
+		assertThat(this.selector.select(this.exchange, Duration.ofSeconds(5), 0).orElseThrow().upstream().id())
+			.isEqualTo(before.upstream().id());
+	}
+
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
@@ -32,12 +32,14 @@
 
 	private static final long MILLI = 1_000_000;
 
-	private static final WaitingSettings SETTINGS = new WaitingSettings(true, true, true, 8);
+	private static final WaitingSettings SETTINGS = new WaitingSettings(true, true, true, true, 8);
 
 	private final Deque<RelayExchange> running = new ArrayDeque<>();
 
 	private final List<String> started = new ArrayList<>();
 
+	private final List<String> attempted = new ArrayList<>();
+
 	private final Map<String, Duration> refused = new HashMap<>();
 
 	private int slots = 1;
@@ -56,6 +58,7 @@
 	}
 
 	private boolean start(RelayExchange exchange) {
+		this.attempted.add(exchange.call().id());
 		if (this.roomWithoutSlots == Room.UNKNOWN && this.running.size() >= this.slots) {
 			return false;
 		}
@@ -201,4 +204,28 @@
 		assertThat(this.refused.values().stream().collect(Collectors.toSet())).hasSize(8);
 	}
 
+	/**
+	 * Fails if requests are ranked, limited in number, held behind others or started
+	 * between two checks although the queue is off.
+	 */
+	@Test
+	void withoutQueueEachRequestIsTriedAtEachCheckInOrderOfArrival() {
+		this.waiting.reload(new WaitingSettings(false, false, false, false, 1));
+		this.roomWithoutSlots = Room.UNKNOWN;
+		submit("first", 1);
+		submit("second", 9);
+		submit("third", 0);
+		submit("fourth", 5);
+		endOldest(1);
+		assertThat(this.refused).isEmpty();
+		assertThat(this.started).containsExactly("first");
+		this.attempted.clear();
+		this.waiting.check();
+		assertThat(this.attempted).containsExactly("second", "third", "fourth").inOrder();
+		assertThat(this.started).containsExactly("first", "second").inOrder();
+		this.nowNanos += 101 * MILLI;
+		this.waiting.check();
+		assertThat(this.refused).containsExactly("third", Duration.ofSeconds(1), "fourth", Duration.ofSeconds(1));
+	}
+
 }
