Ask for short returns only where another daemon can serve

With spread returns, clients of a daemon with old keys were told to return after 20 to 30 ms, and so were those of the last daemon when it stopped. The keys of all daemons are old if the store is lost, so the clients asked again every 20 ms without a chance. Old keys give 300 ms again, and a stopping daemon gives the short time only while others are known to run. A booked return is never under 1 ms. RequestAdmissionTest fails with the times of before.

--- a/mulberrycross/src/main/java/org/mulberrycross/caller/ReturnSchedule.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/caller/ReturnSchedule.java
@@ -16,6 +16,9 @@
 	/** Random part of each time, which separates callers of different daemons. */
 	private static final double JITTER = 0.5;
 
+	/** Shortest time, so that no caller returns without any pause. */
+	private static final Duration MIN_DELAY = Duration.ofMillis(1);
+
 	private final RandomGenerator random;
 
 	private long nextReturnNanos;
@@ -37,23 +40,27 @@
 	 * @param remaining the time until the caller's deadline, not null
 	 * @param now the time on the daemon's monotonic clock, in nanoseconds
 	 * @return the time after which the caller may return, at most a third of its
-	 * remaining time
+	 * remaining time but at least 1 ms
 	 */
 	public Duration book(Duration shortest, double intervalNanos, Duration remaining, long now) {
 		long earliestNanos = now + shortest.toNanos();
 		long returnNanos = (this.used && this.nextReturnNanos - earliestNanos > 0) ? this.nextReturnNanos
 				: earliestNanos;
-		long longestNanos = Math.max(0, remaining.toNanos() / REMAINING_TIME_DIVISOR);
+		long longestNanos = Math.max(MIN_DELAY.toNanos(), remaining.toNanos() / REMAINING_TIME_DIVISOR);
 		double spread = 1 + JITTER * this.random.nextDouble();
 		double delayNanos = (returnNanos - now) * spread;
 		if (delayNanos > longestNanos) {
 			// Room is booked beyond what the caller accepts. It gets a random place in
 			// the later half of the accepted time and books nothing.
-			return Duration.ofNanos((long) (longestNanos * (1 - JITTER * this.random.nextDouble())));
+			return atLeastMinimum(longestNanos * (1 - JITTER * this.random.nextDouble()));
 		}
 		this.used = true;
 		this.nextReturnNanos = returnNanos + (long) intervalNanos;
-		return Duration.ofNanos((long) delayNanos);
+		return atLeastMinimum(delayNanos);
+	}
+
+	private static Duration atLeastMinimum(double delayNanos) {
+		return Duration.ofNanos(Math.max(MIN_DELAY.toNanos(), (long) delayNanos));
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -172,6 +172,7 @@
 	void updateDaemonCount(int count) {
 		this.controlThread.assertOnControlThread();
 		this.daemonCount = Math.max(1, count);
+		this.admission.updateDaemonCount(count);
 		this.retryBudgets.updateDaemonCount(Math.max(1, count));
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -35,9 +35,9 @@
 	private static final Duration RETRY_AFTER_OTHER_DAEMON = Duration.ofMillis(300);
 
 	/**
-	 * Retry-After value if another daemon may serve the request and returns are spread:
-	 * nothing has to come free first, and a client that waits for 300 ms misses target
-	 * latencies of plain services.
+	 * Retry-After value if this daemon stops, others run and returns are spread: nothing
+	 * has to come free first, and a client that waits for 300 ms misses target latencies
+	 * of plain services.
 	 */
 	private static final Duration SHORT_RETRY_AFTER_OTHER_DAEMON = Duration.ofMillis(20);
 
@@ -55,6 +55,9 @@
 
 	private Optional<ClockReading> confirmedAt = Optional.empty();
 
+	/** Whether other daemons are known to run. */
+	private boolean hasSiblings;
+
 	private boolean directoryListed;
 
 	private boolean crashEventsListed;
@@ -93,6 +96,11 @@
 		updateReadiness();
 	}
 
+	// Updates the number of daemons, including this one.
+	void updateDaemonCount(int count) {
+		this.hasSiblings = count > 1;
+	}
+
 	void markDirectoryListed() {
 		this.directoryListed = true;
 		updateReadiness();
@@ -142,7 +150,7 @@
 	// Admits a request, or returns the response that rejects it.
 	Optional<LocalResponse> admit(RelayExchange exchange) {
 		if (isRefusedByShutdown(exchange)) {
-			return Optional.of(LocalResponse.notExecuted(retryAfterOtherDaemon(exchange), "daemon stops"));
+			return Optional.of(LocalResponse.notExecuted(retryAfterShutdown(exchange), "daemon stops"));
 		}
 		if (this.configuration.isEmpty()) {
 			return Optional.of(LocalResponse.notExecuted(spread(RETRY_AFTER_NO_CONFIGURATION, exchange),
@@ -162,7 +170,7 @@
 			return Optional.empty();
 		}
 		if (!hasFreshKeys()) {
-			return Optional.of(LocalResponse.notExecuted(retryAfterOtherDaemon(exchange),
+			return Optional.of(LocalResponse.notExecuted(RETRY_AFTER_OTHER_DAEMON,
 					"keys are " + configurationAgeMillis() + " ms old"));
 		}
 		Optional<String> team = call.key().flatMap((key) -> Optional.ofNullable(current.teamsByKey().get().get(key)));
@@ -174,10 +182,10 @@
 		return Optional.empty();
 	}
 
-	private Duration retryAfterOtherDaemon(RelayExchange exchange) {
-		return spread(
-				this.settings.waiting().spreadReturns() ? SHORT_RETRY_AFTER_OTHER_DAEMON : RETRY_AFTER_OTHER_DAEMON,
-				exchange);
+	// Stale keys get no short time: those of all daemons are stale if the store is lost.
+	private Duration retryAfterShutdown(RelayExchange exchange) {
+		boolean isShort = this.settings.waiting().spreadReturns() && this.hasSiblings;
+		return spread(isShort ? SHORT_RETRY_AFTER_OTHER_DAEMON : RETRY_AFTER_OTHER_DAEMON, exchange);
 	}
 
 	// Prolongs a time by up to a half, differently for each request, so that the clients
--- a/mulberrycross/src/test/java/org/mulberrycross/caller/ReturnScheduleTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/caller/ReturnScheduleTest.java
@@ -47,4 +47,10 @@
 			.isAtMost(SHORTEST.multipliedBy(2));
 	}
 
+	/** Fails if a caller whose time is over is told to return without any pause. */
+	@Test
+	void neverBooksReturnWithoutPause() {
+		assertThat(this.schedule.book(SHORTEST, INTERVAL_NANOS, Duration.ZERO, 0)).isAtLeast(Duration.ofMillis(1));
+	}
+
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RequestAdmissionTest.java
@@ -95,12 +95,9 @@
 	 */
 	@Test
 	void spreadsReturnsToOtherDaemons() {
-		RelaySettings waiting = new RelaySettings(SETTINGS.name(), SETTINGS.dataCentre(), SETTINGS.callerAddress(),
-				SETTINGS.readinessAddress(), SETTINGS.platformAddress(), SETTINGS.revocationLimit(),
-				SETTINGS.propagationLimits(), SETTINGS.shutdownGrace(), SETTINGS.retryRatio(), SETTINGS.retryBurst(),
-				SETTINGS.retryWindow(), new WaitingSettings(true, true, true, true, 1));
 		this.admission.apply(configuration(1, "/a/"));
-		this.admission.reload(waiting);
+		spreadReturns();
+		this.admission.updateDaemonCount(2);
 		this.admission.startDraining(System.nanoTime());
 		Set<Duration> returns = new HashSet<>();
 		for (int i = 0; i < 20; i++) {
@@ -113,4 +110,29 @@
 		assertThat(returns.size()).isAtLeast(5);
 	}
 
+	private void spreadReturns() {
+		this.admission.reload(new RelaySettings(SETTINGS.name(), SETTINGS.dataCentre(), SETTINGS.callerAddress(),
+				SETTINGS.readinessAddress(), SETTINGS.platformAddress(), SETTINGS.revocationLimit(),
+				SETTINGS.propagationLimits(), SETTINGS.shutdownGrace(), SETTINGS.retryRatio(), SETTINGS.retryBurst(),
+				SETTINGS.retryWindow(), new WaitingSettings(true, true, true, true, 1)));
+	}
+
+	/**
+	 * Fails if clients return every 20 ms while no daemon can serve them: the keys of all
+	 * daemons are old, or the last daemon stops.
+	 */
+	@Test
+	void returnsAreNotShortIfNoOtherDaemonServes() {
+		ServingConfiguration open = configuration(1, "/a/");
+		this.admission.apply(new ServingConfiguration(2, open.routes(), Optional.of(Map.of("key", "team")), Map.of(),
+				open.healthPathsByService(), open.limits()));
+		spreadReturns();
+		this.admission.updateDaemonCount(2);
+		RelayExchange exchange = exchange("id", "/a/", System.nanoTime());
+		assertThat(this.admission.admit(exchange).orElseThrow().retryAfter()).isEqualTo(Duration.ofMillis(300));
+		this.admission.updateDaemonCount(1);
+		this.admission.startDraining(exchange.arrivedAt().monotonicNanos());
+		assertThat(this.admission.admit(exchange).orElseThrow().retryAfter()).isAtLeast(Duration.ofMillis(300));
+	}
+
 }
