Remove waiting requests whose start throws an exception

A request whose start threw an exception stayed the first of its queue. Each end of another request and each check met it again, so that nothing behind it started or expired, and the timeouts of requests in flight were no longer checked. WaitingRequestsTest fails without the change.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -503,8 +503,12 @@
 		this.directory.removeExpired(nowNanos);
 		this.admission.updateReadiness();
 		this.admission.takeHeld().forEach(this::admitOrWait);
-		this.waiting.check();
-		this.attemptMonitor.check(nowNanos);
+		try {
+			this.waiting.check();
+		}
+		finally {
+			this.attemptMonitor.check(nowNanos);
+		}
 	}
 
 	// Returns whether a retry is possible. A late response alone is no reason to fail a
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -11,6 +11,9 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.caller.RankedQueue;
 import org.mulberrycross.caller.ReturnSchedule;
@@ -25,6 +28,8 @@
  */
 final class WaitingRequests {
 
+	private static final Logger logger = LoggerFactory.getLogger(WaitingRequests.class);
+
 	/**
 	 * A request waits for room for at most its route's target latency divided by this.
 	 * Waiting longer would cost the client more than a rejection and a retry.
@@ -110,7 +115,7 @@
 		exchange.setReturning(this.returningCallers.record(exchange));
 		ServiceQueue queue = queue(exchange);
 		boolean isBehind = queue.waiting.sizeUpTo(rank(exchange)) > 0;
-		if (!isBehind && tryStart(queue, exchange)) {
+		if (!isBehind && tryStart(exchange)) {
 			return;
 		}
 		Duration wait = maxWait(exchange).minus(exchange.age(nowNanos));
@@ -171,7 +176,7 @@
 			Optional<RankedQueue.Ticket<RelayExchange>> expired = queue.waiting.peekExpired(nowNanos);
 			while (expired.isPresent()) {
 				remove(queue, expired.get());
-				endWait(queue, expired.get().item());
+				endExpiredWait(queue, expired.get().item());
 				expired = queue.waiting.peekExpired(nowNanos);
 			}
 			queue.waiting.unblockAndPrune();
@@ -224,7 +229,7 @@
 		return this.upstreams.roomCheck().room(exchange, this.clock.nanos());
 	}
 
-	private boolean tryStart(ServiceQueue queue, RelayExchange exchange) {
+	private boolean tryStart(RelayExchange exchange) {
 		if (this.settings.queue()) {
 			Room room = room(exchange);
 			if (room == Room.BUSY || room == Room.FULL) {
@@ -236,21 +241,42 @@
 
 	private void startWaiting(ServiceQueue queue) {
 		Optional<RankedQueue.Ticket<RelayExchange>> next = queue.next();
-		while (next.isPresent()) {
-			RelayExchange exchange = next.get().item();
-			if (exchange.isFinished()) {
-				remove(queue, next.get());
-			}
-			else if (tryStart(queue, exchange)) {
-				start(queue, next.get());
-			}
-			else {
-				return;
-			}
+		while (next.isPresent() && leaveQueue(queue, next.get())) {
 			next = queue.next();
 		}
 	}
 
+	// Starts or removes a waiting request, or returns false if it has to wait on.
+	private boolean leaveQueue(ServiceQueue queue, RankedQueue.Ticket<RelayExchange> ticket) {
+		if (ticket.item().isFinished()) {
+			remove(queue, ticket);
+			return true;
+		}
+		try {
+			if (!tryStart(ticket.item())) {
+				return false;
+			}
+		}
+		catch (RuntimeException ex) {
+			// Left in the queue, it would hold up all requests behind it.
+			remove(queue, ticket);
+			refuseAfterError(ticket.item(), ex);
+			return true;
+		}
+		start(queue, ticket);
+		return true;
+	}
+
+	private void refuseAfterError(RelayExchange exchange, RuntimeException error) {
+		logger.atError()
+			.addKeyValue("request", exchange.call().id())
+			.setCause(error)
+			.log("waiting request could not be started");
+		if (!exchange.isFinished()) {
+			refuse(exchange, "internal error", InFlightRequests.RETRY_AFTER_BUSY);
+		}
+	}
+
 	private void start(ServiceQueue queue, RankedQueue.Ticket<RelayExchange> ticket) {
 		int mostUrgent = queue.mostUrgentRank();
 		queue.waiting.start(ticket, 1 + UpstreamSelector.requestTokens(ticket.item()).total());
@@ -269,6 +295,15 @@
 		this.metrics.changeWaiting(ticket.item().priority(), change);
 	}
 
+	private void endExpiredWait(ServiceQueue queue, RelayExchange exchange) {
+		try {
+			endWait(queue, exchange);
+		}
+		catch (RuntimeException ex) {
+			refuseAfterError(exchange, ex);
+		}
+	}
+
 	// Handles a request that cannot wait any longer. Room that is only expected to be
 	// missing is no reason to refuse it; upstreams that have just turned requests away
 	// are one, once for each caller.
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
@@ -59,6 +59,9 @@
 
 	private boolean start(RelayExchange exchange) {
 		this.attempted.add(exchange.call().id());
+		if (exchange.call().id().startsWith("broken")) {
+			throw new IllegalStateException("cannot be encoded");
+		}
 		if (this.roomWithoutSlots == Room.UNKNOWN && this.running.size() >= this.slots) {
 			return false;
 		}
@@ -228,4 +231,21 @@
 		assertThat(this.refused).containsExactly("third", Duration.ofSeconds(1), "fourth", Duration.ofSeconds(1));
 	}
 
+	/** Fails if a request whose start throws an exception holds up those behind it. */
+	@Test
+	void requestThatCannotBeStartedLeavesQueue() {
+		submit("first", 1);
+		submit("broken0", 0);
+		submit("second", 1);
+		submit("broken1", 2);
+		submit("third", 2);
+		endOldest(1);
+		assertThat(this.refused.keySet()).containsExactly("broken0");
+		this.nowNanos += 101 * MILLI;
+		this.waiting.check();
+		assertThat(this.refused.keySet()).containsExactly("broken0", "broken1");
+		assertThat(this.started).containsExactly("first", "second", "third").inOrder();
+		assertThat(this.waiting.size()).isEqualTo(0);
+	}
+
 }
