Count only completed requests in the service rate

The expected wait and the spacing of returns came from all ends of requests, counted from their arrival: a rejection after a millisecond or a client that left shortened the mean, and time in the queue prolonged it. Only requests that an upstream answered in full now count, from when they were first sent. WaitingRequestsTest fails if rejections or the time in the queue count.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
 
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.http.ResponseHead;
@@ -34,12 +33,12 @@
 	private final Set<RelayExchange> exchanges = new LinkedHashSet<>();
 
 	/** Called at the end of each request that was sent to an upstream. */
-	private final Consumer<RelayExchange> onSentEnded;
+	private final SentEndListener onSentEnded;
 
 	private volatile int count;
 
 	InFlightRequests(UpstreamSelector selector, RelayMetrics metrics, RequestLog requestLog, MonotonicClock clock,
-			Consumer<RelayExchange> onSentEnded) {
+			SentEndListener onSentEnded) {
 		this.selector = selector;
 		this.metrics = metrics;
 		this.requestLog = requestLog;
@@ -103,7 +102,16 @@
 		finish(exchange, "upstream status " + head.status());
 	}
 
+	// Ends a request that was answered in full by an upstream.
+	void complete(RelayExchange exchange) {
+		finish(exchange, "complete", true);
+	}
+
 	void finish(RelayExchange exchange, String outcome) {
+		finish(exchange, outcome, false);
+	}
+
+	private void finish(RelayExchange exchange, String outcome, boolean isComplete) {
 		if (exchange.isFinished()) {
 			return;
 		}
@@ -117,8 +125,16 @@
 		this.metrics.recordEnd(outcome, exchange.age(this.clock.nanos()));
 		this.requestLog.logEnded(exchange, outcome);
 		if (exchange.attempts() > 0) {
-			this.onSentEnded.accept(exchange);
+			this.onSentEnded.onSentEnded(exchange, isComplete);
 		}
 	}
 
+	/** Told of the end of each request that was sent to an upstream. */
+	@FunctionalInterface
+	interface SentEndListener {
+
+		void onSentEnded(RelayExchange exchange, boolean isComplete);
+
+	}
+
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -245,8 +245,8 @@
 		this.waiting.submit(exchange);
 	}
 
-	private void handleSentEnded(RelayExchange exchange) {
-		this.waiting.recordEnd(exchange);
+	private void handleSentEnded(RelayExchange exchange, boolean isComplete) {
+		this.waiting.recordEnd(exchange, isComplete);
 	}
 
 	// Sends an admitted request for the first time, or ends it. Returns false if no
@@ -328,7 +328,7 @@
 			}
 			attempt.upstreamIds().forEach(this.health::recordSuccess);
 			this.crashTracker.recordBegun(attempt, this.clock.nanos());
-			this.inFlight.finish(exchange, "complete");
+			this.inFlight.complete(exchange);
 		});
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -49,6 +49,8 @@
 
 	private boolean returning;
 
+	private long sentNanos;
+
 	private int attempts;
 
 	private int executions;
@@ -127,6 +129,15 @@
 		this.returning = isReturning;
 	}
 
+	// Returns when the request was first sent to an upstream, undefined before it.
+	long sentNanos() {
+		return this.sentNanos;
+	}
+
+	void setSentNanos(long nowNanos) {
+		this.sentNanos = nowNanos;
+	}
+
 	boolean arrivedEarlier(RelayExchange other) {
 		return this.arrivalNanos - other.arrivalNanos < 0;
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -151,14 +151,19 @@
 
 	// Records that a request was sent for the first time.
 	void recordStart(RelayExchange exchange) {
+		exchange.setSentNanos(this.clock.nanos());
 		queue(exchange).rate.adjustRunning(1);
 	}
 
-	// Records that a request that was sent has ended, and starts requests that wait.
-	void recordEnd(RelayExchange exchange) {
+	// Records that a request that was sent has ended, and starts requests that wait. How
+	// long it ran counts only if it is complete: a rejection or a client that leaves ends
+	// a request sooner and tells nothing of the time that others will run.
+	void recordEnd(RelayExchange exchange, boolean isComplete) {
 		ServiceQueue queue = queue(exchange);
 		queue.rate.adjustRunning(-1);
-		queue.rate.recordServiceTime(exchange.age(this.clock.nanos()).toNanos());
+		if (isComplete) {
+			queue.rate.recordServiceTime(this.clock.nanos() - exchange.sentNanos());
+		}
 		startWaiting(queue);
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
@@ -87,8 +87,12 @@
 	}
 
 	private void endOldest(long millis) {
+		endOldest(millis, true);
+	}
+
+	private void endOldest(long millis, boolean isComplete) {
 		this.nowNanos += millis * MILLI;
-		this.waiting.recordEnd(this.running.remove());
+		this.waiting.recordEnd(this.running.remove(), isComplete);
 	}
 
 	/** Fails if a burst of the least urgent requests delays a steady urgent load. */
@@ -248,4 +252,27 @@
 		assertThat(this.waiting.size()).isEqualTo(0);
 	}
 
+	/**
+	 * Fails if rejections, or the time before a request is sent, count as time that
+	 * requests run: requests that are served in time are then refused, or others wait in
+	 * vain.
+	 */
+	@Test
+	void onlyCompletedRequestsTellHowLongRequestsRun() {
+		submit("first", 1);
+		submit("second", 1);
+		endOldest(90, false);
+		endOldest(60);
+		this.roomWithoutSlots = Room.FULL;
+		submit("third", 1);
+		for (int i = 0; i < 50; i++) {
+			endOldest(1, false);
+			submit("rejected" + i, 1);
+		}
+		submit("waiting", 1);
+		assertThat(this.refused).isEmpty();
+		submit("too late", 1);
+		assertThat(this.refused.keySet()).containsExactly("too late");
+	}
+
 }
