--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
@@ -32,13 +32,18 @@
 
 	private final Set<RelayExchange> exchanges = new LinkedHashSet<>();
 
+	/** Called at the end of each request that was sent to an upstream. */
+	private final SentEndListener onSentEnded;
+
 	private volatile int count;
 
-	InFlightRequests(UpstreamSelector selector, RelayMetrics metrics, RequestLog requestLog, MonotonicClock clock) {
+	InFlightRequests(UpstreamSelector selector, RelayMetrics metrics, RequestLog requestLog, MonotonicClock clock,
+			SentEndListener onSentEnded) {
 		this.selector = selector;
 		this.metrics = metrics;
 		this.requestLog = requestLog;
 		this.clock = clock;
+		this.onSentEnded = onSentEnded;
 	}
 
 	// Returns the number of requests in flight. May be called on any thread.
@@ -97,7 +102,16 @@
 		finish(exchange, "upstream status " + head.status());
 	}
 
+	// Ends a request that was answered in full by an upstream.
+	void complete(RelayExchange exchange) {
+		finish(exchange, "complete", true);
+	}
+
 	void finish(RelayExchange exchange, String outcome) {
+		finish(exchange, outcome, false);
+	}
+
+	private void finish(RelayExchange exchange, String outcome, boolean isComplete) {
 		if (exchange.isFinished()) {
 			return;
 		}
@@ -110,6 +124,17 @@
 		this.count = this.exchanges.size();
 		this.metrics.recordEnd(outcome, exchange.age(this.clock.nanos()));
 		this.requestLog.logEnded(exchange, outcome);
+		if (exchange.attempts() > 0) {
+			this.onSentEnded.onSentEnded(exchange, isComplete);
+		}
+	}
+
+	/** Told of the end of each request that was sent to an upstream. */
+	@FunctionalInterface
+	interface SentEndListener {
+
+		void onSentEnded(RelayExchange exchange, boolean isComplete);
+
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -1,8 +1,6 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -43,21 +41,11 @@
 	 */
 	static final Duration CHECK_PERIOD = Duration.ofMillis(25);
 
-	/**
-	 * A request waits for an eligible upstream for at most its route's target latency
-	 * divided by this. Waiting longer would cost the client more than a rejection and a
-	 * retry.
-	 */
-	private static final int TARGET_LATENCY_WAIT_DIVISOR = 8;
-
 	/**
 	 * Maximum number of attempts of a request, including rejected ones.
 	 */
 	private static final int MAX_ATTEMPTS = 5;
 
-	/** Retry-After value if no upstream is eligible, for example while layers load. */
-	private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(1000);
-
 	/**
 	 * A rejection within this time means that the engine is saturated; a dead engine is
 	 * reported only after a longer silence.
@@ -76,9 +64,6 @@
 	/** Number of daemons assumed until they have been counted. */
 	static final int DEFAULT_DAEMON_COUNT = 8;
 
-	/** Maximum wait for the first configuration, which usually arrives within 0.1 s. */
-	private static final Duration MAX_CONFIGURATION_WAIT = Duration.ofMillis(250);
-
 	private final ControlThread controlThread;
 
 	private final MonotonicClock clock;
@@ -117,7 +102,7 @@
 
 	private boolean expectedCost;
 
-	private final Deque<RelayExchange> waiting = new ArrayDeque<>();
+	private final WaitingRequests waiting;
 
 	private final FleetLoad fleetLoad = new FleetLoad(DEFAULT_DAEMON_COUNT);
 
@@ -135,12 +120,16 @@
 				this.fleetLoad);
 		this.expectedCost = settings.features().expectedCost();
 		this.selector.useExpectedCost(this.expectedCost);
+		this.selector.reload(settings.features().waiting());
 		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
 		this.requestLog = new RequestLog(logger, clock);
-		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock);
+		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock, this::handleSentEnded);
 		this.earlyMoves = new EarlyMoves(settings, this.inFlight, this.selector, this.health,
 				(service) -> configuration().map((present) -> present.profilesByService().get(service)), this::mayMove,
 				this::handleFailedAttempt, metrics, this.requestLog);
+		this.waiting = new WaitingRequests(settings.features().waiting(),
+				new WaitingRequests.Upstreams(this.selector::room, this::sendOrReject), this.inFlight::fail, metrics,
+				clock, random);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
 				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt, this.earlyMoves);
 		this.crashTracker = new CrashTracker(clock,
@@ -200,6 +189,8 @@
 			this.earlyMoves.reload(changed);
 			this.expectedCost = changed.features().expectedCost();
 			this.selector.useExpectedCost(this.expectedCost);
+			this.waiting.reload(changed.features().waiting());
+			this.selector.reload(changed.features().waiting());
 		});
 	}
 
@@ -213,6 +204,7 @@
 	void updateDaemonCount(int count) {
 		this.controlThread.assertOnControlThread();
 		this.fleetLoad.updateDaemonCount(Math.max(1, count));
+		this.admission.updateDaemonCount(count);
 		this.retryBudgets.updateDaemonCount(Math.max(1, count));
 		this.selector.updateDaemonCount(Math.max(1, count));
 	}
@@ -274,9 +266,7 @@
 	}
 
 	private void admitOrWait(RelayExchange exchange) {
-		boolean unconfigured = configuration().isEmpty();
-		if (unconfigured && exchange.age(this.clock.nanos()).compareTo(MAX_CONFIGURATION_WAIT) < 0) {
-			this.waiting.add(exchange);
+		if (this.admission.hold(exchange)) {
 			return;
 		}
 		Optional<LocalResponse> rejection = this.admission.admit(exchange);
@@ -285,30 +275,28 @@
 			return;
 		}
 		this.retryBudgets.recordRequest(exchange.rule(), this.clock.nanos());
-		dispatchOrWait(exchange);
+		this.waiting.submit(exchange);
 	}
 
-	private void dispatchOrWait(RelayExchange exchange) {
+	private void handleSentEnded(RelayExchange exchange, boolean isComplete) {
+		this.waiting.recordEnd(exchange, isComplete);
+	}
+
+	// Sends an admitted request for the first time, or ends it. Returns false if no
+	// upstream is eligible.
+	private boolean sendOrReject(RelayExchange exchange) {
 		long nowNanos = this.clock.nanos();
 		Optional<LocalResponse> refusal = this.crashTracker.refuse(exchange, nowNanos);
 		if (refusal.isPresent()) {
 			this.inFlight.reject(exchange, refusal.get());
-			return;
+			return true;
 		}
 		if (dispatch(exchange)) {
-			return;
+			return true;
 		}
 		Optional<Duration> untilRestEnds = this.selector.untilRestEnds(exchange.rule(), nowNanos);
-		if (untilRestEnds.isPresent()) {
-			this.inFlight.fail(exchange, "all upstreams asked for a rest", untilRestEnds.get());
-			return;
-		}
-		Duration maxWait = exchange.rule().targetLatency().dividedBy(TARGET_LATENCY_WAIT_DIVISOR);
-		if (exchange.age(nowNanos).compareTo(maxWait) < 0 && exchange.attempts() == 0) {
-			this.waiting.add(exchange);
-			return;
-		}
-		this.inFlight.fail(exchange, "no upstream can take the request", RETRY_AFTER_NO_UPSTREAM);
+		untilRestEnds.ifPresent((rest) -> this.inFlight.fail(exchange, "all upstreams asked for a rest", rest));
+		return untilRestEnds.isPresent();
 	}
 
 	// Sends the request to the best upstream. Returns false if no upstream is eligible or
@@ -322,13 +310,17 @@
 		if (remaining.compareTo(MIN_REMAINING_TIME) < 0) {
 			return false;
 		}
-		Optional<Forwarding> forwarding = this.selector.select(exchange, remaining, nowNanos);
+		Optional<Forwarding> forwarding = this.selector.select(exchange, remaining, nowNanos)
+			.map((chosen) -> this.waiting.withRank(chosen, exchange));
 		if (forwarding.isEmpty()) {
 			return false;
 		}
 		RelayAttempt attempt = new RelayAttempt(exchange, forwarding.get(), this.messageFormat, this,
 				this.selector.requestTokens(exchange, forwarding.get().upstream().service()), this.responseBuffers);
 		attempt.setCrashCounts(this.crashTracker.crashCounts(exchange));
+		if (exchange.attempts() == 0) {
+			this.waiting.recordStart(exchange);
+		}
 		exchange.startAttempt(attempt);
 		exchange.addExecutions(1);
 		attempt.setExpectedMillis(this.selector.expectedMillis(attempt, nowNanos));
@@ -372,7 +364,7 @@
 			this.crashTracker.recordBegun(attempt, this.clock.nanos());
 			this.metrics.recordCalibration(attempt, this.selector.recordCompleted(attempt, this.clock.nanos()),
 					this.clock.nanos());
-			this.inFlight.finish(exchange, "complete");
+			this.inFlight.complete(exchange);
 		});
 	}
 
@@ -410,7 +402,7 @@
 	// Returns when a client may come back after its request was rejected by an upstream.
 	private Duration retryAfterRejection(RelayExchange exchange) {
 		return this.selector.untilRestEnds(exchange.rule(), this.clock.nanos())
-			.orElse(InFlightRequests.RETRY_AFTER_BUSY);
+			.orElseGet(() -> this.waiting.retryAfterRejection(exchange));
 	}
 
 	// Ejects the engine that caused the rejection, or the upstream if no engine is named.
@@ -541,27 +533,20 @@
 	}
 
 	/**
-	 * Dispatches waiting requests, checks the timeouts of all requests and removes
-	 * expired upstreams. Runs on the control thread.
+	 * Starts waiting requests, checks the timeouts of all requests and removes expired
+	 * upstreams. Runs on the control thread.
 	 */
 	void runPeriodicChecks() {
 		long nowNanos = this.clock.nanos();
 		this.directory.removeExpired(nowNanos);
 		this.admission.updateReadiness();
-		int count = this.waiting.size();
-		for (int i = 0; i < count; i++) {
-			RelayExchange exchange = this.waiting.poll();
-			if (exchange.isFinished()) {
-				continue;
-			}
-			if (exchange.rule() == null) {
-				admitOrWait(exchange);
-			}
-			else {
-				dispatchOrWait(exchange);
-			}
+		this.admission.takeHeld().forEach(this::admitOrWait);
+		try {
+			this.waiting.check();
+		}
+		finally {
+			this.attemptMonitor.check(nowNanos);
 		}
-		this.attemptMonitor.check(nowNanos);
 		if (this.expectedCost
 				&& this.streamPaces.sample(this.inFlight.snapshot(), this.selector.profiles(), nowNanos)) {
 			this.selector.reviseLoad(this.inFlight.snapshot());
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -45,6 +45,12 @@
 
 	private Optional<String> team = Optional.empty();
 
+	private int priority;
+
+	private boolean returning;
+
+	private long sentNanos;
+
 	private int attempts;
 
 	private int executions;
@@ -109,9 +115,41 @@
 		return this.team;
 	}
 
+	// Returns the rank of the request, 0 for the most urgent.
+	int priority() {
+		return this.priority;
+	}
+
+	// Returns whether the client has sent this request before.
+	boolean isReturning() {
+		return this.returning;
+	}
+
+	void setReturning(boolean isReturning) {
+		this.returning = isReturning;
+	}
+
+	// Returns when the request was first sent to an upstream, undefined before it.
+	long sentNanos() {
+		return this.sentNanos;
+	}
+
+	void setSentNanos(long nowNanos) {
+		this.sentNanos = nowNanos;
+	}
+
+	boolean arrivedEarlier(RelayExchange other) {
+		return this.arrivalNanos - other.arrivalNanos < 0;
+	}
+
 	void admit(RouteRule matchedRule, Optional<String> requestTeam) {
+		admit(matchedRule, requestTeam, matchedRule.priority());
+	}
+
+	void admit(RouteRule matchedRule, Optional<String> requestTeam, int requestPriority) {
 		this.rule = matchedRule;
 		this.team = requestTeam;
+		this.priority = requestPriority;
 	}
 
 	boolean isStream() {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelaySettingsReader.java
@@ -37,6 +37,8 @@
 
 	private static final int MAX_MIN_DAEMONS = 1_000_000;
 
+	private static final int MAX_MAX_WAITING = 100_000;
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private RelaySettingsReader() {
@@ -70,12 +72,16 @@
 		double retryBurst = file.decimal("bounds.retry_burst", DEFAULT_RETRY_BURST, 0, MAX_RETRY_BURST);
 		double retryWindow = file.decimal("bounds.retry_window_s", DEFAULT_RETRY_WINDOW_SECONDS, 1,
 				MAX_RETRY_WINDOW_SECONDS);
+		WaitingSettings waiting = new WaitingSettings(file.flag("admission.queue", false),
+				file.flag("admission.forward_priority", false), file.flag("admission.spread_returns", false),
+				file.flag("admission.balance_by_slots", false),
+				file.integer("admission.max_waiting", WaitingSettings.DEFAULT_MAX_WAITING, 1, MAX_MAX_WAITING));
 		SiblingSettings siblings = new SiblingSettings(file.optionalAddress("listen.siblings"),
 				file.integer("siblings.min_daemons", SiblingSettings.DEFAULT_MIN_DAEMONS, 2, MAX_MIN_DAEMONS),
 				file.flag("siblings.share_load", false), file.flag("siblings.share_changes", false));
 		file.requireIfSet("siblings.share_changes", "listen.siblings");
 		RelayFeatures features = new RelayFeatures(siblings, file.flag("streams.early_moves", false),
-				file.flag("routing.expected_cost", false));
+				file.flag("routing.expected_cost", false), waiting);
 		file.throwIfInvalid();
 		return new RelaySettings(name.orElseThrow(), dataCentre.orElseThrow(), callerAddress.orElseThrow(),
 				readinessAddress.orElseThrow(), platformAddress.orElseThrow(), revocationLimit, propagationLimits,
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -1,6 +1,8 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -32,14 +34,30 @@
 	/** Retry-After value if another daemon may serve the request. */
 	private static final Duration RETRY_AFTER_OTHER_DAEMON = Duration.ofMillis(300);
 
+	/**
+	 * Retry-After value if this daemon stops, others run and returns are spread: nothing
+	 * has to come free first, and a client that waits for 300 ms misses target latencies
+	 * of plain services.
+	 */
+	private static final Duration SHORT_RETRY_AFTER_OTHER_DAEMON = Duration.ofMillis(20);
+
+	/** Maximum wait for the first configuration, which usually arrives within 0.1 s. */
+	private static final Duration MAX_CONFIGURATION_WAIT = Duration.ofMillis(250);
+
 	private final MonotonicClock clock;
 
+	/** The requests that wait for the first configuration. */
+	private final List<RelayExchange> held = new ArrayList<>();
+
 	private RelaySettings settings;
 
 	private Optional<ServingConfiguration> configuration = Optional.empty();
 
 	private Optional<ClockReading> confirmedAt = Optional.empty();
 
+	/** Whether other daemons are known to run. */
+	private boolean hasSiblings;
+
 	private boolean directoryListed;
 
 	private boolean crashEventsListed;
@@ -78,6 +96,11 @@
 		updateReadiness();
 	}
 
+	// Updates the number of daemons, including this one.
+	void updateDaemonCount(int count) {
+		this.hasSiblings = count > 1;
+	}
+
 	void markDirectoryListed() {
 		this.directoryListed = true;
 		updateReadiness();
@@ -110,14 +133,28 @@
 		updateReadiness();
 	}
 
+	// Holds a request that has arrived shortly before the first configuration, and
+	// returns whether it did.
+	boolean hold(RelayExchange exchange) {
+		return this.configuration.isEmpty() && exchange.age(this.clock.nanos()).compareTo(MAX_CONFIGURATION_WAIT) < 0
+				&& this.held.add(exchange);
+	}
+
+	// Returns the held requests that have not ended, which are no longer held.
+	List<RelayExchange> takeHeld() {
+		List<RelayExchange> taken = this.held.stream().filter((exchange) -> !exchange.isFinished()).toList();
+		this.held.clear();
+		return taken;
+	}
+
 	// Admits a request, or returns the response that rejects it.
 	Optional<LocalResponse> admit(RelayExchange exchange) {
 		if (isRefusedByShutdown(exchange)) {
-			return Optional.of(LocalResponse.notExecuted(RETRY_AFTER_OTHER_DAEMON, "daemon stops"));
+			return Optional.of(LocalResponse.notExecuted(retryAfterShutdown(exchange), "daemon stops"));
 		}
 		if (this.configuration.isEmpty()) {
-			return Optional
-				.of(LocalResponse.notExecuted(RETRY_AFTER_NO_CONFIGURATION, "no configuration is known yet"));
+			return Optional.of(LocalResponse.notExecuted(spread(RETRY_AFTER_NO_CONFIGURATION, exchange),
+					"no configuration is known yet"));
 		}
 		ServingConfiguration current = this.configuration.get();
 		ClientCall call = exchange.call();
@@ -140,10 +177,26 @@
 		if (team.isEmpty()) {
 			return Optional.of(LocalResponse.of(401, "unknown key"));
 		}
-		exchange.admit(rule.get(), team);
+		int priority = current.prioritiesByTeam().getOrDefault(team.get(), rule.get().priority());
+		exchange.admit(rule.get(), team, priority);
 		return Optional.empty();
 	}
 
+	// Stale keys get no short time: those of all daemons are stale if the store is lost.
+	private Duration retryAfterShutdown(RelayExchange exchange) {
+		boolean isShort = this.settings.features().waiting().spreadReturns() && this.hasSiblings;
+		return spread(isShort ? SHORT_RETRY_AFTER_OTHER_DAEMON : RETRY_AFTER_OTHER_DAEMON, exchange);
+	}
+
+	// Prolongs a time by up to a half, differently for each request, so that the clients
+	// of a daemon that starts or stops do not return as one wave.
+	private Duration spread(Duration retryAfter, RelayExchange exchange) {
+		if (!this.settings.features().waiting().spreadReturns()) {
+			return retryAfter;
+		}
+		return retryAfter.plusMillis(Math.floorMod(exchange.call().id().hashCode(), retryAfter.toMillis() / 2));
+	}
+
 	private boolean isRefusedByShutdown(RelayExchange exchange) {
 		return this.refusedFromNanos.isPresent()
 				&& exchange.arrivedAt().monotonicNanos() - this.refusedFromNanos.getAsLong() >= 0;
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -63,7 +63,8 @@
 	private final RequestLog requestLog = new RequestLog(NOPLogger.NOP_LOGGER, MonotonicClock.system());
 
 	private final InFlightRequests inFlight = new InFlightRequests(this.selector, this.metrics, this.requestLog,
-			MonotonicClock.system());
+			MonotonicClock.system(), (exchange, completed) -> {
+			});
 
 	private final List<RelayAttempt> moved = new ArrayList<>();
 
@@ -88,7 +89,7 @@
 				new Address("127.0.0.1", 2), new Address("127.0.0.1", 3), Duration.ofSeconds(5),
 				new PropagationLimits(Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(3)),
 				Duration.ofSeconds(8), 1, 10, Duration.ofSeconds(10),
-				new RelayFeatures(SiblingSettings.NONE, enabled, false));
+				new RelayFeatures(SiblingSettings.NONE, enabled, false, WaitingSettings.OFF));
 		return new EarlyMoves(settings, this.inFlight, this.selector, this.health, (service) -> Optional.of(PROFILE),
 				(exchange, movesUnderWay) -> this.retryLeft,
 				(attempt, faultyIds, reason, mayHaveExecuted) -> this.moved.add(attempt), this.metrics,
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelaySettingsReaderTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelaySettingsReaderTest.java
@@ -1,6 +1,8 @@
 package org.mulberrycross.router.relay;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mulberrycross.Address;
 import org.mulberrycross.router.SettingsException;
@@ -62,4 +64,20 @@
 		assertThat(error).hasMessageThat().contains("listen.siblings");
 	}
 
+	/** Fails if requests wait, or are ranked, other than the settings say. */
+	@Test
+	void requestsWaitOnlyIfTold() throws SettingsException {
+		assertThat(parse("").waiting()).isEqualTo(WaitingSettings.OFF);
+		assertThat(parse(
+				"admission.queue = true\nadmission.forward_priority = true\nadmission.spread_returns = true\nadmission.balance_by_slots = true\nadmission.max_waiting = 7\n")
+			.waiting()).isEqualTo(new WaitingSettings(true, true, true, true, 7));
+	}
+
+	/** Fails if a daemon starts with settings that are wrong. */
+	@ParameterizedTest
+	@ValueSource(strings = { "queue = 1", "max_waiting = 0", "spread = true" })
+	void rejectsWrongSettings(String line) {
+		assertThrows(SettingsException.class, () -> parse("admission." + line + "\n"));
+	}
+
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -109,6 +109,22 @@
 		assertThat(selectPath()).containsExactly("other", "another").inOrder();
 	}
 
+	/**
+	 * Fails if requests are sent to engines that turn them away while others would soon
+	 * have room, or wait although some engines hold all layers and have room.
+	 */
+	@Test
+	void roomCountsEnginesThatHoldAllLayersTogether() {
+		assertThat(this.selector.room(this.exchange, 0)).isEqualTo(Room.FREE);
+		this.health.recordSaturation("second", 0);
+		assertThat(this.selector.room(this.exchange, 0)).isEqualTo(Room.FULL);
+		put("other", 4, 10, 134);
+		assertThat(this.selector.room(this.exchange, 0)).isEqualTo(Room.FREE);
+		this.health.recordFailure("other", "reset", 0);
+		this.health.recordFailure("first", "reset", 0);
+		assertThat(this.selector.room(this.exchange, 0)).isEqualTo(Room.UNKNOWN);
+	}
+
 	/**
 	 * Fails if a service rejects requests because each of its first engines has recently
 	 * failed one, or if a stalled engine is preferred to an ejected one.
@@ -248,4 +264,29 @@
 				new ResponseBuffers());
 	}
 
+	/**
+	 * Fails if instances of plain services are chosen at random or by their slots without
+	 * the setting, or by the number of requests alone with it.
+	 */
+	@Test
+	void slotsCountForPlainServicesOnlyBySetting() {
+		this.selector.configure(new ServingConfiguration(2, RouteTable.of(List.of(RULE)), Optional.empty(), Map.of(),
+				Map.of("model", "/"), new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1))));
+		Forwarding before = this.selector.select(this.exchange, Duration.ofSeconds(5), 0).orElseThrow();
+		for (int i = 0; i < 20; i++) {
+			assertThat(this.selector.select(this.exchange, Duration.ofSeconds(5), 0)).isEqualTo(Optional.of(before));
+		}
+		String other = before.upstream().id().equals("first") ? "second" : "first";
+		put(other, 0, 5, 1);
+		for (int i = 0; i < 3; i++) {
+			Forwarding chosen = this.selector.select(this.exchange, Duration.ofSeconds(5), 0).orElseThrow();
+			assertThat(chosen.upstream().id()).isEqualTo((i == 1) ? other : before.upstream().id());
+			this.selector.recordSent(new RelayAttempt(this.exchange, chosen, null, null, new RequestTokens(1, 1),
+					new ResponseBuffers()));
+		}
+		this.selector.reload(new WaitingSettings(false, false, false, true, 1));
+		assertThat(this.selector.select(this.exchange, Duration.ofSeconds(5), 0).orElseThrow().upstream().id())
+			.isEqualTo(before.upstream().id());
+	}
+
 }
