Keep waiting requests in order while upstreams are only busy

A newcomer with a long expected wait, or one that met admission.max_waiting, was sent at once, ahead of more urgent requests in the queue: the end of its wait sends it while upstreams are busy. It now waits until its time is over, and only full upstreams end a wait early. At the limit the first request of the order starts and the newcomer waits, or the newcomer is refused if upstreams are full or their room is unknown. Two tests of WaitingRequestsTest fail without it.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -119,16 +119,41 @@
 			return;
 		}
 		Duration wait = maxWait(exchange).minus(exchange.age(nowNanos));
-		if (wait.isNegative() || wait.isZero() || this.size >= this.settings.maxWaiting()) {
+		if (wait.isNegative() || wait.isZero()) {
 			endWait(queue, exchange);
 			return;
 		}
+		Room room = room(exchange);
+		boolean isAtLimit = this.size >= this.settings.maxWaiting();
+		if (isAtLimit && (room == Room.FULL || room == Room.UNKNOWN)) {
+			refuse(exchange, "too many requests wait", retryAfterRejection(exchange));
+			return;
+		}
 		RankedQueue.Ticket<RelayExchange> ticket = queue.waiting.add(rank(exchange), exchange.team().orElse(""), 1,
 				nowNanos + wait.toNanos(), exchange);
 		changeSize(ticket, 1);
-		if (queue.expectedWaitNanos(ticket) > wait.toNanos()) {
-			remove(queue, ticket);
-			endWait(queue, exchange);
+		if (isAtLimit) {
+			queue.next().ifPresent((first) -> endWait(queue, first));
+		}
+		else if (room == Room.FULL && queue.expectedWaitNanos(ticket) > wait.toNanos()
+				&& !wouldOvertake(queue, ticket)) {
+			endWait(queue, ticket);
+		}
+	}
+
+	// Returns whether a request that ends its wait now is sent before others that are as
+	// urgent. A client that was refused before is sent even to full upstreams.
+	private static boolean wouldOvertake(ServiceQueue queue, RankedQueue.Ticket<RelayExchange> ticket) {
+		return ticket.item().isReturning() && queue.waiting.sizeUpTo(ticket.rank()) > 1;
+	}
+
+	private void endWait(ServiceQueue queue, RankedQueue.Ticket<RelayExchange> ticket) {
+		remove(queue, ticket);
+		try {
+			endWait(queue, ticket.item());
+		}
+		catch (RuntimeException ex) {
+			refuseAfterError(ticket.item(), ex);
 		}
 	}
 
@@ -180,8 +205,7 @@
 			startWaiting(queue);
 			Optional<RankedQueue.Ticket<RelayExchange>> expired = queue.waiting.peekExpired(nowNanos);
 			while (expired.isPresent()) {
-				remove(queue, expired.get());
-				endExpiredWait(queue, expired.get().item());
+				endWait(queue, expired.get());
 				expired = queue.waiting.peekExpired(nowNanos);
 			}
 			queue.waiting.unblockAndPrune();
@@ -300,15 +324,6 @@
 		this.metrics.changeWaiting(ticket.item().priority(), change);
 	}
 
-	private void endExpiredWait(ServiceQueue queue, RelayExchange exchange) {
-		try {
-			endWait(queue, exchange);
-		}
-		catch (RuntimeException ex) {
-			refuseAfterError(exchange, ex);
-		}
-	}
-
 	// Handles a request that cannot wait any longer. Room that is only expected to be
 	// missing is no reason to refuse it; upstreams that have just turned requests away
 	// are one, once for each caller.
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/WaitingRequestsTest.java
@@ -275,4 +275,39 @@
 		assertThat(this.refused.keySet()).containsExactly("too late");
 	}
 
+	/**
+	 * Fails if requests with a long expected wait are sent to busy upstreams at once,
+	 * ahead of more urgent ones that wait.
+	 */
+	@Test
+	void longExpectedWaitOvertakesNobodyWhileBusy() {
+		submit("first", 1);
+		endOldest(2000);
+		submit("second", 1);
+		submit("fault", 0);
+		submit("quote", 2);
+		submit("returning quote", 2, "team", 19_000);
+		assertThat(this.started).containsExactly("first", "second").inOrder();
+		endOldest(1);
+		endOldest(1);
+		assertThat(this.started).containsExactly("first", "second", "fault", "returning quote").inOrder();
+	}
+
+	/** Fails if a newcomer beyond the limit starts ahead of those that wait. */
+	@Test
+	void fullQueueStartsItsFirstRequest() {
+		submit("first", 1);
+		for (int i = 0; i < 9; i++) {
+			submit("order" + i, 1);
+		}
+		assertThat(this.started).containsExactly("first", "order0").inOrder();
+		submit("quote", 2);
+		submit("fault", 0);
+		assertThat(this.started).containsExactly("first", "order0", "order1", "fault").inOrder();
+		this.roomWithoutSlots = Room.FULL;
+		submit("returning quote", 2, "team", 19_000);
+		assertThat(this.refused.keySet()).containsExactly("returning quote");
+		assertThat(this.waiting.size()).isEqualTo(8);
+	}
+
 }
