Move each silent stream itself, and only while it is still silent

Early moves found the stream to a move by the id of its call. Callers choose these ids, so of two streams with the same id one was moved twice and the other not at all. A stream that ended or had an event between the decision and its turn was cancelled all the same.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
@@ -154,7 +154,8 @@
 		for (RelayExchange exchange : this.inFlight.snapshot()) {
 			RelayAttempt attempt = exchange.currentAttempt();
 			if (exchange.rule() != null && attempt != null && attempt.wasSent()) {
-				observe(exchange, attempt).ifPresent((stream) -> {
+				// Callers choose the ids of their calls, so several may have the same.
+				observe(Integer.toString(attempts.size()), exchange, attempt).ifPresent((stream) -> {
 					attempts.put(stream.id(), attempt);
 					streams.add(stream);
 				});
@@ -170,7 +171,7 @@
 		return takeDueProbes(nowNanos);
 	}
 
-	private Optional<ObservedStream> observe(RelayExchange exchange, RelayAttempt attempt) {
+	private Optional<ObservedStream> observe(String id, RelayExchange exchange, RelayAttempt attempt) {
 		if (!exchange.isStream() || attempt.forwarding().path().isEmpty()) {
 			return Optional.empty();
 		}
@@ -181,7 +182,7 @@
 		if (!begun && !exchange.isResponseStarted()) {
 			limit = exchange.rule().targetLatency().minus(exchange.age(lastActivityNanos));
 		}
-		return Optional.of(new ObservedStream(exchange.call().id(), attempt.upstreamIds(), begun, lastActivityNanos,
+		return Optional.of(new ObservedStream(id, attempt.upstreamIds(), begun, lastActivityNanos,
 				begun ? attempt.pace() : this.firstEvents, limit,
 				exchange.rule().pauseTarget().isPresent() && mayMove(exchange)));
 	}
@@ -220,7 +221,7 @@
 
 	private void carryOut(StreamMove move, RelayAttempt attempt, long nowNanos) {
 		RelayExchange exchange = attempt.exchange();
-		if (!mayMove(exchange)) {
+		if (hasGoneOn(move, attempt) || !mayMove(exchange)) {
 			return;
 		}
 		this.planner.recordMoved(move, nowNanos);
@@ -235,6 +236,13 @@
 				"silent, moved before its pause is too long", true);
 	}
 
+	// Returns whether the stream has ended, moved or had an event since it was observed.
+	private static boolean hasGoneOn(StreamMove move, RelayAttempt attempt) {
+		RelayExchange exchange = attempt.exchange();
+		return exchange.isFinished() || exchange.currentAttempt() != attempt
+				|| attempt.lastActivityNanos() != move.stream().lastActivityNanos();
+	}
+
 	// Returns the first engines of left paths when those of silent streams are asked too,
 	// unless the engine at fault is known or events have passed all engines meanwhile. Of
 	// paths with a common candidate, one is asked at a time.
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.BeforeEach;
@@ -67,6 +68,8 @@
 
 	private final List<RelayAttempt> moved = new ArrayList<>();
 
+	private Consumer<RelayAttempt> onMove = this.moved::add;
+
 	private boolean retryLeft = true;
 
 	@BeforeEach
@@ -90,7 +93,7 @@
 				Duration.ofSeconds(8), 1, 10, Duration.ofSeconds(10), enabled);
 		return new EarlyMoves(settings, this.inFlight, this.selector, this.health, (service) -> Optional.of(PROFILE),
 				(exchange, movesUnderWay) -> this.retryLeft,
-				(attempt, faultyIds, reason, mayHaveExecuted) -> this.moved.add(attempt), this.metrics,
+				(attempt, faultyIds, reason, mayHaveExecuted) -> this.onMove.accept(attempt), this.metrics,
 				this.requestLog);
 	}
 
@@ -150,6 +153,29 @@
 		assertThat(this.moved).isEmpty();
 	}
 
+	/**
+	 * Fails if one of two calls with the same id is moved in place of the other, or if a
+	 * stream is given up that had an event after it was observed.
+	 */
+	@Test
+	void movesEachStreamThatIsStillSilent() {
+		RelayAttempt first = startStream(put("lost-1"));
+		RelayAttempt second = startStream(put("lost-2"));
+		put("other");
+		long nowNanos = second.lastActivityNanos() + SILENCE_NANOS;
+		earlyMoves(true).check(nowNanos);
+		assertThat(this.moved).containsExactly(first, second);
+		this.moved.clear();
+		this.health.recordSuccess("lost-1");
+		this.health.recordSuccess("lost-2");
+		this.onMove = (attempt) -> {
+			this.moved.add(attempt);
+			second.onData("id: 10\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+		};
+		earlyMoves(true).check(nowNanos);
+		assertThat(this.moved).containsExactly(first);
+	}
+
 	/** Takes the events of an attempt without any effect. */
 	private static final class IgnoringListener implements AttemptListener {
 
