End the ejection of a silent engine at the next event that passes it

An engine that was only slow got no requests until its ejection was over: the ejection ended only at the first event of a new attempt while the engine was blamed, and any event ended the blame. Events of streams under way now end the ejection, and no event seen by early moves ends that of a stalled or saturated engine.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
@@ -70,6 +70,9 @@
 	/** Last activity of the streams that have left a path and have no event since. */
 	private final Map<RelayExchange, Long> lostNanos = new HashMap<>();
 
+	/** When engines were ejected because their streams were silent. */
+	private final Map<String, Long> ejectedNanos = new HashMap<>();
+
 	private final List<UnclearPath> unclearPaths = new ArrayList<>();
 
 	/** Paths whose first engine was asked shortly before. */
@@ -114,7 +117,7 @@
 			profile(attempt).ifPresent((profile) -> this.restartTimes.record(profile, path,
 					tokensToRead(exchange, attempt.forwarding().lastEventId()), time));
 		});
-		attempt.upstreamIds().stream().filter(this.planner::isBlamed).forEach(this.health::recordSuccess);
+		attempt.upstreamIds().forEach(this.health::endSilence);
 	}
 
 	private void recordPause(RelayExchange exchange, Duration pause) {
@@ -164,13 +167,30 @@
 		this.unreachableIds = unreachable(nowNanos);
 		List<StreamMove> moves = this.planner.plan(streams,
 				(stream, avoidedIds) -> estimateRestart(attempts.get(stream.id()), avoidedIds, nowNanos), nowNanos);
-		moves.forEach((move) -> move.culpritId()
-			.ifPresent((id) -> this.health.recordFailure(id, "its streams are silent", nowNanos)));
+		readmitSoundEngines(nowNanos);
+		moves.forEach((move) -> move.culpritId().ifPresent((id) -> eject(id, nowNanos)));
 		moves.forEach((move) -> carryOut(move, attempts.get(move.stream().id()), nowNanos));
 		this.metrics.countNeedlessMoves(this.planner.takeNeedlessMoves());
 		return takeDueProbes(nowNanos);
 	}
 
+	private void eject(String id, long nowNanos) {
+		this.health.recordSilence(id, nowNanos);
+		this.ejectedNanos.put(id, nowNanos);
+	}
+
+	// Ends the ejections of engines that an event of any stream has passed since.
+	private void readmitSoundEngines(long nowNanos) {
+		this.ejectedNanos.keySet().removeIf((id) -> !this.health.isEjected(id, nowNanos));
+		List<String> soundIds = this.ejectedNanos.entrySet()
+			.stream()
+			.filter((entry) -> this.planner.isAliveSince(entry.getKey(), entry.getValue()))
+			.map(Map.Entry::getKey)
+			.toList();
+		soundIds.forEach(this.health::endSilence);
+		this.ejectedNanos.keySet().removeAll(soundIds);
+	}
+
 	private Optional<ObservedStream> observe(String id, RelayExchange exchange, RelayAttempt attempt) {
 		if (!exchange.isStream() || attempt.forwarding().path().isEmpty()) {
 			return Optional.empty();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
@@ -38,12 +38,26 @@
 	private final Map<String, Long> restEndNanos = new HashMap<>();
 
 	void recordFailure(String id, String reason, long nowNanos) {
-		Ejection previous = this.ejections.getOrDefault(id, new Ejection(nowNanos, Duration.ZERO, false));
+		recordFailure(id, reason, Cause.OTHER, nowNanos);
+	}
+
+	// Ejects an upstream whose streams are silent, until an event passes it again.
+	void recordSilence(String id, long nowNanos) {
+		recordFailure(id, "its streams are silent", Cause.SILENCE, nowNanos);
+	}
+
+	// Ends the ejection of an upstream that was ejected for its silence only.
+	void endSilence(String id) {
+		this.ejections.computeIfPresent(id, (key, ejection) -> (ejection.cause() == Cause.SILENCE) ? null : ejection);
+	}
+
+	private void recordFailure(String id, String reason, Cause cause, long nowNanos) {
+		Ejection previous = this.ejections.getOrDefault(id, new Ejection(nowNanos, Duration.ZERO, cause));
 		if (nowNanos < previous.untilNanos()) {
 			return;
 		}
 		Duration duration = nextDuration(previous.duration(), INITIAL_EJECTION);
-		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, false));
+		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, cause));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
 			.addKeyValue("reason", reason)
@@ -53,7 +67,7 @@
 
 	// Ejects a stalled upstream, for the maximum duration at once.
 	void recordStall(String id, long nowNanos) {
-		this.ejections.put(id, new Ejection(nowNanos + MAX_EJECTION.toNanos(), MAX_EJECTION, true));
+		this.ejections.put(id, new Ejection(nowNanos + MAX_EJECTION.toNanos(), MAX_EJECTION, Cause.STALL));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
 			.addKeyValue("for_ms", MAX_EJECTION.toMillis())
@@ -68,7 +82,7 @@
 		}
 		Duration previous = Optional.ofNullable(this.ejections.get(id)).map(Ejection::duration).orElse(Duration.ZERO);
 		Duration duration = nextDuration(previous, INITIAL_SATURATION_EJECTION);
-		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, false));
+		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, Cause.OTHER));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
 			.addKeyValue("for_ms", duration.toMillis())
@@ -112,14 +126,21 @@
 
 	// Returns whether an upstream is ejected because it was reported as stalled.
 	boolean isStalled(String id, long nowNanos) {
-		return isEjected(id, nowNanos) && this.ejections.get(id).stalled();
+		return isEjected(id, nowNanos) && this.ejections.get(id).cause() == Cause.STALL;
+	}
+
+	/** Why an upstream is ejected, as far as it matters for the end of the ejection. */
+	private enum Cause {
+
+		STALL, SILENCE, OTHER
+
 	}
 
 	/**
 	 * A time during which an upstream gets no requests unless no other is eligible. Kept
 	 * after its end, so that the next one can be longer.
 	 */
-	private record Ejection(long untilNanos, Duration duration, boolean stalled) {
+	private record Ejection(long untilNanos, Duration duration, Cause cause) {
 
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -176,6 +176,23 @@
 		assertThat(this.moved).containsExactly(first);
 	}
 
+	/**
+	 * Fails if an engine that was only slow gets no requests for the rest of a second.
+	 */
+	@Test
+	void laterEventOfStreamUnderWayEndsEjection() throws InterruptedException {
+		RelayAttempt attempt = startStream(put("slow"));
+		long nowNanos = attempt.lastActivityNanos() + SILENCE_NANOS;
+		put("other");
+		EarlyMoves earlyMoves = earlyMoves(true);
+		earlyMoves.check(nowNanos);
+		assertThat(this.health.isEjected("slow", nowNanos)).isTrue();
+		Thread.sleep(Duration.ofNanos(SILENCE_NANOS).toMillis() + 1);
+		attempt.onData("id: 10\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+		earlyMoves.check(attempt.lastActivityNanos());
+		assertThat(this.health.isEjected("slow", attempt.lastActivityNanos())).isFalse();
+	}
+
 	/** Takes the events of an attempt without any effect. */
 	private static final class IgnoringListener implements AttemptListener {
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamHealthTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamHealthTest.java
@@ -57,6 +57,18 @@
 		assertThat(this.health.isEjected("e", 3000 * NANOS_PER_MILLI)).isFalse();
 	}
 
+	/** Fails if an event of one stream ends the ejection of a stalled engine. */
+	@Test
+	void endOfSilenceKeepsOtherEjections() {
+		this.health.recordSilence("silent", 0);
+		this.health.recordSilence("stalled", 0);
+		this.health.recordStall("stalled", 0);
+		this.health.endSilence("silent");
+		this.health.endSilence("stalled");
+		assertThat(this.health.isEjected("silent", NANOS_PER_MILLI)).isFalse();
+		assertThat(this.health.isStalled("stalled", NANOS_PER_MILLI)).isTrue();
+	}
+
 	/**
 	 * Fails if a stalled engine cannot be distinguished from one that failed a request.
 	 */
