Leave half of the retries to failures when live streams are moved

After the loss of several engines moves could take all but a few retries of the window, so that requests that had failed were not retried. A live stream whose prompt is suspected to have crashed engines was cancelled although its retry is always denied, and a lone silence could take the last execution. Moves now stop at half of the window, check the suspicion first, and keep an execution after a lone silence. These checks are made only for streams that are about to move, no longer for each stream at each check.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
@@ -18,6 +18,7 @@
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.EngineProfile;
+import org.mulberrycross.engine.MoveCause;
 import org.mulberrycross.engine.ObservedStream;
 import org.mulberrycross.engine.RestartEstimate;
 import org.mulberrycross.engine.RestartTimes;
@@ -203,8 +204,7 @@
 			limit = exchange.rule().targetLatency().minus(exchange.age(lastActivityNanos));
 		}
 		return Optional.of(new ObservedStream(id, attempt.upstreamIds(), begun, lastActivityNanos,
-				begun ? attempt.pace() : this.firstEvents, limit,
-				exchange.rule().pauseTarget().isPresent() && mayMove(exchange)));
+				begun ? attempt.pace() : this.firstEvents, limit, exchange.rule().pauseTarget().isPresent()));
 	}
 
 	// Estimates the restart on the path that would be selected now. Empty if it contains
@@ -212,6 +212,9 @@
 	private Optional<RestartEstimate> estimateRestart(RelayAttempt attempt, Set<String> silentIds, long nowNanos) {
 		this.avoidedIds = Stream.concat(silentIds.stream(), this.unreachableIds.stream()).collect(Collectors.toSet());
 		RelayExchange exchange = attempt.exchange();
+		if (!mayMove(exchange)) {
+			return Optional.empty();
+		}
 		Set<String> suspectedBefore = Set.copyOf(exchange.suspectedUpstreams());
 		exchange.suspectedUpstreams().addAll(this.avoidedIds);
 		Optional<EnginePath> path = this.selector.select(exchange, exchange.remainingTime(nowNanos), nowNanos)
@@ -241,7 +244,7 @@
 
 	private void carryOut(StreamMove move, RelayAttempt attempt, long nowNanos) {
 		RelayExchange exchange = attempt.exchange();
-		if (hasGoneOn(move, attempt) || !mayMove(exchange)) {
+		if (hasGoneOn(move, attempt) || !mayMove(exchange) || takesLastExecution(move, exchange)) {
 			return;
 		}
 		this.planner.recordMoved(move, nowNanos);
@@ -263,6 +266,12 @@
 				|| attempt.lastActivityNanos() != move.stream().lastActivityNanos();
 	}
 
+	// A stream that is moved for its own silence alone may be sound, so an execution is
+	// kept for a failure of the new path.
+	private static boolean takesLastExecution(StreamMove move, RelayExchange exchange) {
+		return move.cause() == MoveCause.LONE_SILENCE && exchange.executions() + 1 >= exchange.rule().maxExecutions();
+	}
+
 	// Returns the first engines of left paths when those of silent streams are asked too,
 	// unless the engine at fault is known or events have passed all engines meanwhile. Of
 	// paths with a common candidate, one is asked at a time.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -541,10 +541,11 @@
 
 	// Returns whether a stream may be moved while others that were moved have no event
 	// yet. A moved stream without another retry would be broken off if its new path has
-	// no room either.
+	// no room either, and one with a part that has crashed engines would not be retried.
 	private boolean mayMove(RelayExchange exchange, int movesUnderWay) {
-		return mayRetry(exchange) && this.retryBudgets.hasRetries(exchange.rule(),
-				2 + movesUnderWay / MOVES_PER_SPARE_RETRY, this.clock.nanos());
+		return mayRetry(exchange) && this.retryBudgets.hasOptionalRetry(exchange.rule(),
+				1 + movesUnderWay / MOVES_PER_SPARE_RETRY, this.clock.nanos())
+				&& !this.crashTracker.isSuspected(exchange, this.clock.nanos());
 	}
 
 	// Returns whether a retry is possible. A late response alone is no reason to fail a
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryBudgets.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryBudgets.java
@@ -24,6 +24,12 @@
 	/** Minimum burst, so that each of many daemons may still retry single requests. */
 	private static final double MIN_BURST = 1;
 
+	/**
+	 * Share of the retries in a window after which only failures are retried, so that
+	 * moves of live streams leave half of them to requests that have failed.
+	 */
+	private static final double OPTIONAL_SHARE = 0.5;
+
 	private final Map<String, RetryWindow> windows = new HashMap<>();
 
 	private RelaySettings settings;
@@ -50,13 +56,18 @@
 
 	// Returns whether a retry is available for each service of the route.
 	boolean hasRetry(RouteRule rule, long nowNanos) {
-		return hasRetries(rule, 1, nowNanos);
+		return hasRetries(rule, 1, 1, nowNanos);
+	}
+
+	// Returns whether a retry that failures do not need is available for each service of
+	// the route, and beyond it a number of spare ones.
+	boolean hasOptionalRetry(RouteRule rule, int spareCount, long nowNanos) {
+		return hasRetries(rule, 1 + spareCount, 1, nowNanos) && hasRetries(rule, 1, OPTIONAL_SHARE, nowNanos);
 	}
 
-	// Returns whether a number of retries is available for each service of the route.
-	boolean hasRetries(RouteRule rule, int count, long nowNanos) {
-		double ratio = this.settings.retryRatio() * RATIO_SHARE;
-		double burst = Math.max(MIN_BURST, this.settings.retryBurst() * BURST_SHARE / this.daemonCount);
+	private boolean hasRetries(RouteRule rule, int count, double share, long nowNanos) {
+		double ratio = share * this.settings.retryRatio() * RATIO_SHARE;
+		double burst = share * Math.max(MIN_BURST, this.settings.retryBurst() * BURST_SHARE / this.daemonCount);
 		return rule.services()
 			.stream()
 			.allMatch((target) -> windowFor(target).allowsRetries(count, this.settings.retryWindow(), ratio, burst,
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -193,6 +193,16 @@
 		assertThat(this.health.isEjected("slow", attempt.lastActivityNanos())).isFalse();
 	}
 
+	/** Fails if a live stream is given up for its last execution. */
+	@Test
+	void keepsExecutionAfterLoneSilence() {
+		RelayAttempt attempt = startStream(put("lost"));
+		attempt.exchange().addExecutions(RULE.maxExecutions() - 1);
+		put("other");
+		earlyMoves(true).check(attempt.lastActivityNanos() + SILENCE_NANOS);
+		assertThat(this.moved).isEmpty();
+	}
+
 	/** Takes the events of an attempt without any effect. */
 	private static final class IgnoringListener implements AttemptListener {
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RetryBudgetsTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RetryBudgetsTest.java
@@ -103,6 +103,19 @@
 		assertThat(acquired).isAtLeast(30);
 	}
 
+	/** Fails if moves of live streams leave no retries to requests that have failed. */
+	@Test
+	void optionalRetriesLeaveHalfToFailures() {
+		RetryBudgets daemon = new RetryBudgets(SETTINGS, 10);
+		assertThat(daemon.hasOptionalRetry(RULE, 10, 0)).isFalse();
+		int taken = 0;
+		while (daemon.hasOptionalRetry(RULE, 1, 0) && daemon.tryAcquire(RULE, 0)) {
+			taken++;
+		}
+		assertThat(taken).isEqualTo(5);
+		assertThat(daemon.hasRetry(RULE, 0)).isTrue();
+	}
+
 	/** Fails if retries or requests before the window are still counted. */
 	@Test
 	void windowSlides() {
