Log and count nothing about early moves without the setting

With early moves off, a daemon still wrote a line and a counter for each stream that went on after a loss, and kept its state. Nothing is recorded now without the setting, and a reload that switches it off forgets the state. A left path whose first engine could not be asked within a second is dropped.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
@@ -48,7 +48,10 @@
 	/** Time in which the answer of an engine arrives and is acted on. */
 	private static final Duration PROBE_REPLY_TIME = Duration.ofMillis(400);
 
-	private final StreamMovePlanner planner = new StreamMovePlanner(RelayControl.CHECK_PERIOD);
+	/** Silence of a left path after which its first engine is no longer asked. */
+	private static final Duration UNCLEAR_TIME = Duration.ofSeconds(1);
+
+	private StreamMovePlanner planner = new StreamMovePlanner(RelayControl.CHECK_PERIOD);
 
 	private final RestartTimes restartTimes = new RestartTimes();
 
@@ -104,11 +107,21 @@
 
 	void reload(RelaySettings settings) {
 		this.enabled = settings.earlyMoves();
+		if (!this.enabled) {
+			this.planner = new StreamMovePlanner(RelayControl.CHECK_PERIOD);
+			this.lostNanos.clear();
+			this.ejectedNanos.clear();
+			this.unclearPaths.clear();
+			this.askedPaths.clear();
+		}
 	}
 
 	// Learns from the first event of an attempt how long paths need, and counts a stream
 	// that goes on after a loss as on time or late.
 	void recordFirstData(RelayAttempt attempt, long nowNanos) {
+		if (!this.enabled) {
+			return;
+		}
 		RelayExchange exchange = attempt.exchange();
 		Optional<Long> lost = Optional.ofNullable(this.lostNanos.remove(exchange));
 		lost.ifPresent((nanos) -> recordPause(exchange, Duration.ofNanos(nowNanos - nanos)));
@@ -130,7 +143,7 @@
 
 	// Records that an attempt whose stream had begun ended without the rest of it.
 	void recordLoss(RelayAttempt attempt) {
-		if (attempt.exchange().isStream() && attempt.exchange().isResponseStarted()) {
+		if (this.enabled && attempt.exchange().isStream() && attempt.exchange().isResponseStarted()) {
 			this.lostNanos.putIfAbsent(attempt.exchange(), attempt.lastActivityNanos());
 		}
 	}
@@ -149,10 +162,10 @@
 	// Moves the streams whose pause would become too long, and returns the engines to ask
 	// which engine is stalled, since the silence did not tell.
 	List<EngineInstance> check(long nowNanos) {
-		this.lostNanos.keySet().removeIf(RelayExchange::isFinished);
 		if (!this.enabled) {
 			return List.of();
 		}
+		this.lostNanos.keySet().removeIf(RelayExchange::isFinished);
 		Map<String, RelayAttempt> attempts = new LinkedHashMap<>();
 		List<ObservedStream> streams = new ArrayList<>();
 		for (RelayExchange exchange : this.inFlight.snapshot()) {
@@ -277,6 +290,7 @@
 	// paths with a common candidate, one is asked at a time.
 	private List<EngineInstance> takeDueProbes(long nowNanos) {
 		this.askedPaths.removeIf((asked) -> nowNanos - asked.askedNanos() > PROBE_REPLY_TIME.toNanos());
+		this.unclearPaths.removeIf((path) -> nowNanos - path.lastActivityNanos() > UNCLEAR_TIME.toNanos());
 		List<EngineInstance> due = new ArrayList<>();
 		for (Iterator<UnclearPath> paths = this.unclearPaths.iterator(); paths.hasNext();) {
 			UnclearPath path = paths.next();
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -59,7 +59,9 @@
 	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.health, new EngineSlowdowns(),
 			"dc", new SplittableRandom(1), (engineId, own, nowNanos) -> own);
 
-	private final RelayMetrics metrics = new RelayMetrics(new MetricRegistry());
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private final RelayMetrics metrics = new RelayMetrics(this.registry);
 
 	private final RequestLog requestLog = new RequestLog(NOPLogger.NOP_LOGGER, MonotonicClock.system());
 
@@ -86,13 +88,16 @@
 		return engine;
 	}
 
-	private EarlyMoves earlyMoves(boolean enabled) {
-		RelaySettings settings = new RelaySettings("router-1", "dc", new Address("127.0.0.1", 1),
-				new Address("127.0.0.1", 2), new Address("127.0.0.1", 3), Duration.ofSeconds(5),
+	private static RelaySettings settings(boolean enabled) {
+		return new RelaySettings("router-1", "dc", new Address("127.0.0.1", 1), new Address("127.0.0.1", 2),
+				new Address("127.0.0.1", 3), Duration.ofSeconds(5),
 				new PropagationLimits(Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(3)),
 				Duration.ofSeconds(8), 1, 10, Duration.ofSeconds(10), enabled);
-		return new EarlyMoves(settings, this.inFlight, this.selector, this.health, (service) -> Optional.of(PROFILE),
-				(exchange, movesUnderWay) -> this.retryLeft,
+	}
+
+	private EarlyMoves earlyMoves(boolean enabled) {
+		return new EarlyMoves(settings(enabled), this.inFlight, this.selector, this.health,
+				(service) -> Optional.of(PROFILE), (exchange, movesUnderWay) -> this.retryLeft,
 				(attempt, faultyIds, reason, mayHaveExecuted) -> this.onMove.accept(attempt), this.metrics,
 				this.requestLog);
 	}
@@ -203,6 +208,23 @@
 		assertThat(this.moved).isEmpty();
 	}
 
+	/**
+	 * Fails if losses are counted and logged without the setting, also after a reload.
+	 */
+	@Test
+	void countsNoStreamsWithoutSetting() {
+		RelayAttempt attempt = startStream(put("lost"));
+		EarlyMoves earlyMoves = earlyMoves(false);
+		earlyMoves.recordLoss(attempt);
+		earlyMoves.recordFirstData(attempt, attempt.lastActivityNanos());
+		earlyMoves.reload(settings(true));
+		earlyMoves.recordLoss(attempt);
+		earlyMoves.reload(settings(false));
+		earlyMoves.reload(settings(true));
+		earlyMoves.recordFirstData(attempt, attempt.lastActivityNanos());
+		assertThat(this.registry.getCounters()).doesNotContainKey("streams.after_loss.on_time");
+	}
+
 	/** Takes the events of an attempt without any effect. */
 	private static final class IgnoringListener implements AttemptListener {
 
