Estimate restarts only for streams that can still be on time

Each check selected a path for each silent stream above its threshold, also for streams that were late already, which occupies the control thread when many streams are silent. Such streams are now left out first, the streams that are late first come first, and a check makes at most 64 estimates.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,6 +24,12 @@
 	/** Time for which silence counts against an engine of which nothing is seen. */
 	static final Duration SUSPICION_TIME = Duration.ofSeconds(1);
 
+	/** Estimates of restarts in a check at most, since each selects a path. */
+	static final int MAX_ESTIMATES = 64;
+
+	/** Shortest restart: a connection and a step of decoding on each engine. */
+	private static final Duration MIN_RESTART = Duration.ofMillis(10);
+
 	/** Period of the limit on moves. */
 	private static final Duration LIMIT_PERIOD = Duration.ofSeconds(1);
 
@@ -73,6 +80,8 @@
 
 	private long needlessMoves;
 
+	private int estimatesLeft;
+
 	/**
 	 * Creates a planner.
 	 * @param checkPeriod the time between two calls of {@link #plan}, not null
@@ -82,13 +91,14 @@
 	}
 
 	/**
-	 * Selects the streams to move now, in the order given.
+	 * Selects the streams to move now, those that are late first before others.
 	 * @param streams the streams in flight, not null
 	 * @param restarts estimates the time until the next event on another path, not null
 	 * @param nowNanos the time on the router's monotonic clock
 	 * @return the moves, not null
 	 */
 	public List<StreamMove> plan(List<ObservedStream> streams, RestartEstimator restarts, long nowNanos) {
+		this.estimatesLeft = MAX_ESTIMATES;
 		noticeOwnPause(nowNanos);
 		streams.stream().filter(ObservedStream::begun).forEach(this::recordAlive);
 		forgetOld(nowNanos);
@@ -97,6 +107,7 @@
 		double limit = Math.max(MIN_LIMIT, begun.size() * MAX_SHARE);
 		List<Silence> silences = streams.stream()
 			.flatMap((stream) -> silence(stream, usualPace, nowNanos).stream())
+			.sorted(Comparator.comparingLong(Silence::remainingNanos))
 			.toList();
 		long silent = silences.stream().filter((silence) -> silence.stream().begun()).count();
 		if (silent > limit) {
@@ -138,9 +149,11 @@
 			cause = MoveCause.SILENT_ENGINE;
 			threshold = culpritId.isPresent() ? silence.noticeableNanos() : Double.POSITIVE_INFINITY;
 		}
-		if (silence.nanos() < threshold) {
+		if (silence.nanos() < threshold || silence.remainingNanos() < MIN_RESTART.toNanos()
+				|| this.estimatesLeft == 0) {
 			return Optional.empty();
 		}
+		this.estimatesLeft--;
 		Optional<RestartEstimate> restart = restarts.estimate(silence.stream(), avoidedIds);
 		if (restart.isEmpty() || !isTime(silence, cause, restart.get())) {
 			return Optional.empty();
@@ -300,6 +313,11 @@
 	private record Silence(ObservedStream stream, long nanos, long dueNanos, double noticeableNanos,
 			double significantNanos, Set<String> candidateIds) {
 
+		// Returns the time until the stream is late.
+		private long remainingNanos() {
+			return this.stream.silenceLimit().toNanos() - this.nanos;
+		}
+
 	}
 
 	/** The engines that may have been at fault when a stream left its path. */
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/StreamMovePlannerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/StreamMovePlannerTest.java
@@ -203,6 +203,30 @@
 		assertThat(movedIds).containsExactly("s0", "s1", "lost");
 	}
 
+	/**
+	 * Fails if the control thread selects a path for each of many silent streams at each
+	 * check, or for streams that are late already.
+	 */
+	@Test
+	void estimatesFewRestartsInCheck() {
+		add(100, true, "lost");
+		add(120, true, "sound");
+		List<ObservedStream> estimated = new ArrayList<>();
+		this.restarts = (stream, avoidedIds) -> {
+			estimated.add(stream);
+			return Optional.empty();
+		};
+		run(1, CRASH_MILLIS, (i) -> true);
+		run(CRASH_MILLIS, CRASH_MILLIS + 101, (i) -> i >= 100);
+		estimated.clear();
+		run(CRASH_MILLIS + 101, CRASH_MILLIS + 126, (i) -> i >= 100);
+		assertThat(estimated).hasSize(StreamMovePlanner.MAX_ESTIMATES);
+		run(CRASH_MILLIS + 126, CRASH_MILLIS + 250, (i) -> i >= 100);
+		estimated.clear();
+		run(CRASH_MILLIS + 250, CRASH_MILLIS + 600, (i) -> i >= 100);
+		assertThat(estimated).isEmpty();
+	}
+
 	/** Fails if moves away from an engine that goes on at once are not counted. */
 	@Test
 	void countsNeedlessMoves() {
