--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
@@ -18,6 +18,7 @@
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.EngineProfile;
+import org.mulberrycross.engine.MoveCause;
 import org.mulberrycross.engine.ObservedStream;
 import org.mulberrycross.engine.RestartEstimate;
 import org.mulberrycross.engine.RestartTimes;
@@ -47,7 +48,10 @@
 	/** Time in which the answer of an engine arrives and is acted on. */
 	private static final Duration PROBE_REPLY_TIME = Duration.ofMillis(400);
 
-	private final StreamMovePlanner planner = new StreamMovePlanner(RelayControl.CHECK_PERIOD);
+	/** Silence of a left path after which its first engine is no longer asked. */
+	private static final Duration UNCLEAR_TIME = Duration.ofSeconds(1);
+
+	private StreamMovePlanner planner = new StreamMovePlanner(RelayControl.CHECK_PERIOD);
 
 	private final RestartTimes restartTimes = new RestartTimes();
 
@@ -70,6 +74,9 @@
 	/** Last activity of the streams that have left a path and have no event since. */
 	private final Map<RelayExchange, Long> lostNanos = new HashMap<>();
 
+	/** When engines were ejected because their streams were silent. */
+	private final Map<String, Long> ejectedNanos = new HashMap<>();
+
 	private final List<UnclearPath> unclearPaths = new ArrayList<>();
 
 	/** Paths whose first engine was asked shortly before. */
@@ -100,11 +107,21 @@
 
 	void reload(RelaySettings settings) {
 		this.enabled = settings.features().earlyMoves();
+		if (!this.enabled) {
+			this.planner = new StreamMovePlanner(RelayControl.CHECK_PERIOD);
+			this.lostNanos.clear();
+			this.ejectedNanos.clear();
+			this.unclearPaths.clear();
+			this.askedPaths.clear();
+		}
 	}
 
 	// Learns from the first event of an attempt how long paths need, and counts a stream
 	// that goes on after a loss as on time or late.
 	void recordFirstData(RelayAttempt attempt, long nowNanos) {
+		if (!this.enabled) {
+			return;
+		}
 		RelayExchange exchange = attempt.exchange();
 		Optional<Long> lost = Optional.ofNullable(this.lostNanos.remove(exchange));
 		lost.ifPresent((nanos) -> recordPause(exchange, Duration.ofNanos(nowNanos - nanos)));
@@ -114,7 +131,7 @@
 			profile(attempt).ifPresent((profile) -> this.restartTimes.record(profile, path,
 					tokensToRead(exchange, attempt.forwarding().lastEventId()), time));
 		});
-		attempt.upstreamIds().stream().filter(this.planner::isBlamed).forEach(this.health::recordSuccess);
+		attempt.upstreamIds().forEach(this.health::endSilence);
 	}
 
 	private void recordPause(RelayExchange exchange, Duration pause) {
@@ -126,7 +143,7 @@
 
 	// Records that an attempt whose stream had begun ended without the rest of it.
 	void recordLoss(RelayAttempt attempt) {
-		if (attempt.exchange().isStream() && attempt.exchange().isResponseStarted()) {
+		if (this.enabled && attempt.exchange().isStream() && attempt.exchange().isResponseStarted()) {
 			this.lostNanos.putIfAbsent(attempt.exchange(), attempt.lastActivityNanos());
 		}
 	}
@@ -145,16 +162,17 @@
 	// Moves the streams whose pause would become too long, and returns the engines to ask
 	// which engine is stalled, since the silence did not tell.
 	List<EngineInstance> check(long nowNanos) {
-		this.lostNanos.keySet().removeIf(RelayExchange::isFinished);
 		if (!this.enabled) {
 			return List.of();
 		}
+		this.lostNanos.keySet().removeIf(RelayExchange::isFinished);
 		Map<String, RelayAttempt> attempts = new LinkedHashMap<>();
 		List<ObservedStream> streams = new ArrayList<>();
 		for (RelayExchange exchange : this.inFlight.snapshot()) {
 			RelayAttempt attempt = exchange.currentAttempt();
 			if (exchange.rule() != null && attempt != null && attempt.wasSent()) {
-				observe(exchange, attempt).ifPresent((stream) -> {
+				// Callers choose the ids of their calls, so several may have the same.
+				observe(Integer.toString(attempts.size()), exchange, attempt).ifPresent((stream) -> {
 					attempts.put(stream.id(), attempt);
 					streams.add(stream);
 				});
@@ -163,14 +181,31 @@
 		this.unreachableIds = unreachable(nowNanos);
 		List<StreamMove> moves = this.planner.plan(streams,
 				(stream, avoidedIds) -> estimateRestart(attempts.get(stream.id()), avoidedIds, nowNanos), nowNanos);
-		moves.forEach((move) -> move.culpritId()
-			.ifPresent((id) -> this.health.recordFailure(id, "its streams are silent", nowNanos)));
+		readmitSoundEngines(nowNanos);
+		moves.forEach((move) -> move.culpritId().ifPresent((id) -> eject(id, nowNanos)));
 		moves.forEach((move) -> carryOut(move, attempts.get(move.stream().id()), nowNanos));
 		this.metrics.countNeedlessMoves(this.planner.takeNeedlessMoves());
 		return takeDueProbes(nowNanos);
 	}
 
-	private Optional<ObservedStream> observe(RelayExchange exchange, RelayAttempt attempt) {
+	private void eject(String id, long nowNanos) {
+		this.health.recordSilence(id, nowNanos);
+		this.ejectedNanos.put(id, nowNanos);
+	}
+
+	// Ends the ejections of engines that an event of any stream has passed since.
+	private void readmitSoundEngines(long nowNanos) {
+		this.ejectedNanos.keySet().removeIf((id) -> !this.health.isEjected(id, nowNanos));
+		List<String> soundIds = this.ejectedNanos.entrySet()
+			.stream()
+			.filter((entry) -> this.planner.isAliveSince(entry.getKey(), entry.getValue()))
+			.map(Map.Entry::getKey)
+			.toList();
+		soundIds.forEach(this.health::endSilence);
+		this.ejectedNanos.keySet().removeAll(soundIds);
+	}
+
+	private Optional<ObservedStream> observe(String id, RelayExchange exchange, RelayAttempt attempt) {
 		if (!exchange.isStream() || attempt.forwarding().path().isEmpty()) {
 			return Optional.empty();
 		}
@@ -181,9 +216,8 @@
 		if (!begun && !exchange.isResponseStarted()) {
 			limit = exchange.rule().targetLatency().minus(exchange.age(lastActivityNanos));
 		}
-		return Optional.of(new ObservedStream(exchange.call().id(), attempt.upstreamIds(), begun, lastActivityNanos,
-				begun ? attempt.pace() : this.firstEvents, limit,
-				exchange.rule().pauseTarget().isPresent() && mayMove(exchange)));
+		return Optional.of(new ObservedStream(id, attempt.upstreamIds(), begun, lastActivityNanos,
+				begun ? attempt.pace() : this.firstEvents, limit, exchange.rule().pauseTarget().isPresent()));
 	}
 
 	// Estimates the restart on the path that would be selected now. Empty if it contains
@@ -191,6 +225,9 @@
 	private Optional<RestartEstimate> estimateRestart(RelayAttempt attempt, Set<String> silentIds, long nowNanos) {
 		this.avoidedIds = Stream.concat(silentIds.stream(), this.unreachableIds.stream()).collect(Collectors.toSet());
 		RelayExchange exchange = attempt.exchange();
+		if (!mayMove(exchange)) {
+			return Optional.empty();
+		}
 		Set<String> suspectedBefore = Set.copyOf(exchange.suspectedUpstreams());
 		exchange.suspectedUpstreams().addAll(this.avoidedIds);
 		Optional<EnginePath> path = this.selector.select(exchange, exchange.remainingTime(nowNanos), nowNanos)
@@ -220,7 +257,7 @@
 
 	private void carryOut(StreamMove move, RelayAttempt attempt, long nowNanos) {
 		RelayExchange exchange = attempt.exchange();
-		if (!mayMove(exchange)) {
+		if (hasGoneOn(move, attempt) || !mayMove(exchange) || takesLastExecution(move, exchange)) {
 			return;
 		}
 		this.planner.recordMoved(move, nowNanos);
@@ -235,11 +272,25 @@
 				"silent, moved before its pause is too long", true);
 	}
 
+	// Returns whether the stream has ended, moved or had an event since it was observed.
+	private static boolean hasGoneOn(StreamMove move, RelayAttempt attempt) {
+		RelayExchange exchange = attempt.exchange();
+		return exchange.isFinished() || exchange.currentAttempt() != attempt
+				|| attempt.lastActivityNanos() != move.stream().lastActivityNanos();
+	}
+
+	// A stream that is moved for its own silence alone may be sound, so an execution is
+	// kept for a failure of the new path.
+	private static boolean takesLastExecution(StreamMove move, RelayExchange exchange) {
+		return move.cause() == MoveCause.LONE_SILENCE && exchange.executions() + 1 >= exchange.rule().maxExecutions();
+	}
+
 	// Returns the first engines of left paths when those of silent streams are asked too,
 	// unless the engine at fault is known or events have passed all engines meanwhile. Of
 	// paths with a common candidate, one is asked at a time.
 	private List<EngineInstance> takeDueProbes(long nowNanos) {
 		this.askedPaths.removeIf((asked) -> nowNanos - asked.askedNanos() > PROBE_REPLY_TIME.toNanos());
+		this.unclearPaths.removeIf((path) -> nowNanos - path.lastActivityNanos() > UNCLEAR_TIME.toNanos());
 		List<EngineInstance> due = new ArrayList<>();
 		for (Iterator<UnclearPath> paths = this.unclearPaths.iterator(); paths.hasNext();) {
 			UnclearPath path = paths.next();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamHealth.java
@@ -38,12 +38,26 @@
 	private final Map<String, Long> restEndNanos = new HashMap<>();
 
 	void recordFailure(String id, String reason, long nowNanos) {
-		Ejection previous = this.ejections.getOrDefault(id, new Ejection(nowNanos, Duration.ZERO, Cause.FAILURE));
+		recordFailure(id, reason, Cause.FAILURE, nowNanos);
+	}
+
+	// Ejects an upstream whose streams are silent, until an event passes it again.
+	void recordSilence(String id, long nowNanos) {
+		recordFailure(id, "its streams are silent", Cause.SILENCE, nowNanos);
+	}
+
+	// Ends the ejection of an upstream that was ejected for its silence only.
+	void endSilence(String id) {
+		this.ejections.computeIfPresent(id, (key, ejection) -> (ejection.cause() == Cause.SILENCE) ? null : ejection);
+	}
+
+	private void recordFailure(String id, String reason, Cause cause, long nowNanos) {
+		Ejection previous = this.ejections.getOrDefault(id, new Ejection(nowNanos, Duration.ZERO, cause));
 		if (nowNanos < previous.untilNanos()) {
 			return;
 		}
 		Duration duration = nextDuration(previous.duration(), INITIAL_EJECTION);
-		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, Cause.FAILURE));
+		this.ejections.put(id, new Ejection(nowNanos + duration.toNanos(), duration, cause));
 		logger.atInfo()
 			.addKeyValue("upstream", id)
 			.addKeyValue("reason", reason)
@@ -134,6 +148,9 @@
 		/** It failed a request. */
 		FAILURE,
 
+		/** Its streams are silent. */
+		SILENCE,
+
 		/** It reported that its work is stalled. */
 		STALL,
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.BeforeEach;
@@ -58,7 +59,9 @@
 	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.health, new EngineSlowdowns(),
 			"dc", new SplittableRandom(1), (engineId, own, nowNanos) -> own);
 
-	private final RelayMetrics metrics = new RelayMetrics(new MetricRegistry());
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private final RelayMetrics metrics = new RelayMetrics(this.registry);
 
 	private final RequestLog requestLog = new RequestLog(NOPLogger.NOP_LOGGER, MonotonicClock.system());
 
@@ -68,6 +71,8 @@
 
 	private final List<RelayAttempt> moved = new ArrayList<>();
 
+	private Consumer<RelayAttempt> onMove = this.moved::add;
+
 	private boolean retryLeft = true;
 
 	@BeforeEach
@@ -84,15 +89,18 @@
 		return engine;
 	}
 
-	private EarlyMoves earlyMoves(boolean enabled) {
-		RelaySettings settings = new RelaySettings("router-1", "dc", new Address("127.0.0.1", 1),
-				new Address("127.0.0.1", 2), new Address("127.0.0.1", 3), Duration.ofSeconds(5),
+	private static RelaySettings settings(boolean enabled) {
+		return new RelaySettings("router-1", "dc", new Address("127.0.0.1", 1), new Address("127.0.0.1", 2),
+				new Address("127.0.0.1", 3), Duration.ofSeconds(5),
 				new PropagationLimits(Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(3)),
 				Duration.ofSeconds(8), 1, 10, Duration.ofSeconds(10),
 				new RelayFeatures(SiblingSettings.NONE, enabled, false, WaitingSettings.OFF));
-		return new EarlyMoves(settings, this.inFlight, this.selector, this.health, (service) -> Optional.of(PROFILE),
-				(exchange, movesUnderWay) -> this.retryLeft,
-				(attempt, faultyIds, reason, mayHaveExecuted) -> this.moved.add(attempt), this.metrics,
+	}
+
+	private EarlyMoves earlyMoves(boolean enabled) {
+		return new EarlyMoves(settings(enabled), this.inFlight, this.selector, this.health,
+				(service) -> Optional.of(PROFILE), (exchange, movesUnderWay) -> this.retryLeft,
+				(attempt, faultyIds, reason, mayHaveExecuted) -> this.onMove.accept(attempt), this.metrics,
 				this.requestLog);
 	}
 
@@ -152,6 +160,73 @@
 		assertThat(this.moved).isEmpty();
 	}
 
+	/**
+	 * Fails if one of two calls with the same id is moved in place of the other, or if a
+	 * stream is given up that had an event after it was observed.
+	 */
+	@Test
+	void movesEachStreamThatIsStillSilent() {
+		RelayAttempt first = startStream(put("lost-1"));
+		RelayAttempt second = startStream(put("lost-2"));
+		put("other");
+		long nowNanos = second.lastActivityNanos() + SILENCE_NANOS;
+		earlyMoves(true).check(nowNanos);
+		assertThat(this.moved).containsExactly(first, second);
+		this.moved.clear();
+		this.health.recordSuccess("lost-1");
+		this.health.recordSuccess("lost-2");
+		this.onMove = (attempt) -> {
+			this.moved.add(attempt);
+			second.onData("id: 10\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+		};
+		earlyMoves(true).check(nowNanos);
+		assertThat(this.moved).containsExactly(first);
+	}
+
+	/**
+	 * Fails if an engine that was only slow gets no requests for the rest of a second.
+	 */
+	@Test
+	void laterEventOfStreamUnderWayEndsEjection() throws InterruptedException {
+		RelayAttempt attempt = startStream(put("slow"));
+		long nowNanos = attempt.lastActivityNanos() + SILENCE_NANOS;
+		put("other");
+		EarlyMoves earlyMoves = earlyMoves(true);
+		earlyMoves.check(nowNanos);
+		assertThat(this.health.isEjected("slow", nowNanos)).isTrue();
+		Thread.sleep(Duration.ofNanos(SILENCE_NANOS).toMillis() + 1);
+		attempt.onData("id: 10\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+		earlyMoves.check(attempt.lastActivityNanos());
+		assertThat(this.health.isEjected("slow", attempt.lastActivityNanos())).isFalse();
+	}
+
+	/** Fails if a live stream is given up for its last execution. */
+	@Test
+	void keepsExecutionAfterLoneSilence() {
+		RelayAttempt attempt = startStream(put("lost"));
+		attempt.exchange().addExecutions(RULE.maxExecutions() - 1);
+		put("other");
+		earlyMoves(true).check(attempt.lastActivityNanos() + SILENCE_NANOS);
+		assertThat(this.moved).isEmpty();
+	}
+
+	/**
+	 * Fails if losses are counted and logged without the setting, also after a reload.
+	 */
+	@Test
+	void countsNoStreamsWithoutSetting() {
+		RelayAttempt attempt = startStream(put("lost"));
+		EarlyMoves earlyMoves = earlyMoves(false);
+		earlyMoves.recordLoss(attempt);
+		earlyMoves.recordFirstData(attempt, attempt.lastActivityNanos());
+		earlyMoves.reload(settings(true));
+		earlyMoves.recordLoss(attempt);
+		earlyMoves.reload(settings(false));
+		earlyMoves.reload(settings(true));
+		earlyMoves.recordFirstData(attempt, attempt.lastActivityNanos());
+		assertThat(this.registry.getCounters()).doesNotContainKey("streams.after_loss.on_time");
+	}
+
 	/** Takes the events of an attempt without any effect. */
 	private static final class IgnoringListener implements AttemptListener {
 
