Demand a significant silence when twice the restart does not fit

In an overload restarts take long, and streams were moved as soon as a shared silence was noticeable, which is common then. If twice the restart does not fit after such a silence, it must now be significant like a lone one. The usual queueing is learned for each service by itself, so that a crowded service does not make the restarts of others look long.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/RestartTimes.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/RestartTimes.java
@@ -1,18 +1,20 @@
 package org.mulberrycross.engine;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Estimates the time until the first event on a path: the prefill of all tokens so far
  * and one decode step at the speed of the path's accelerators, and the usual rest, which
- * is learned from observed first events (queues, transfers and connections). Confined to
- * the control thread; not thread-safe.
+ * is learned for each service from observed first events (queues, transfers and
+ * connections). Confined to the control thread; not thread-safe.
  */
 public final class RestartTimes {
 
 	private static final double NANOS_PER_MILLI = 1_000_000;
 
-	private StreamPace rest = StreamPace.initial();
+	private final Map<String, StreamPace> restByService = new HashMap<>();
 
 	/**
 	 * Records an observed first event.
@@ -22,7 +24,8 @@
 	 * @param observed the time from sending to the first event, not null
 	 */
 	public void record(EngineProfile profile, EnginePath path, double tokens, Duration observed) {
-		this.rest = this.rest.withPause(Math.max(0, observed.toNanos() - unqueuedNanos(profile, path, tokens)));
+		this.restByService.put(service(path),
+				rest(path).withPause(Math.max(0, observed.toNanos() - unqueuedNanos(profile, path, tokens))));
 	}
 
 	/**
@@ -33,8 +36,16 @@
 	 * @return the estimate
 	 */
 	public RestartEstimate estimate(EngineProfile profile, EnginePath path, double tokens) {
-		return new RestartEstimate(unqueuedNanos(profile, path, tokens) + this.rest.meanNanos(),
-				this.rest.deviationNanos());
+		StreamPace rest = rest(path);
+		return new RestartEstimate(unqueuedNanos(profile, path, tokens) + rest.meanNanos(), rest.deviationNanos());
+	}
+
+	private StreamPace rest(EnginePath path) {
+		return this.restByService.getOrDefault(service(path), StreamPace.initial());
+	}
+
+	private static String service(EnginePath path) {
+		return path.firstEngine().upstream().service();
 	}
 
 	private static double unqueuedNanos(EngineProfile profile, EnginePath path, double tokens) {
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/StreamMovePlanner.java
@@ -155,13 +155,26 @@
 		}
 		this.estimatesLeft--;
 		Optional<RestartEstimate> restart = restarts.estimate(silence.stream(), avoidedIds);
-		if (restart.isEmpty() || !isTime(silence, cause, restart.get())) {
+		if (restart.isEmpty() || !isTime(silence, cause, restart.get()) || isHasty(silence, cause, restart.get())) {
 			return Optional.empty();
 		}
 		return Optional.of(new StreamMove(silence.stream(), cause, culpritId, silence.candidateIds(), silence.nanos(),
 				threshold, restart.get()));
 	}
 
+	// Returns the time that is kept for streams that are lost together.
+	private static double jointRestartNanos(RestartEstimate restart) {
+		return JOINT_RESTART_FACTOR * restart.meanNanos() + restart.deviationNanos();
+	}
+
+	// Returns whether a shared silence would be moved as soon as it is noticeable. Such
+	// silences are common in an overload, when restarts take long.
+	private boolean isHasty(Silence silence, MoveCause cause, RestartEstimate restart) {
+		return cause == MoveCause.SHARED_SILENCE && silence.nanos() < silence.significantNanos()
+				&& silence.noticeableNanos() + this.checkPeriodNanos
+						+ jointRestartNanos(restart) >= silence.stream().silenceLimit().toNanos();
+	}
+
 	// Returns whether a move is due at this check, since it would be too late at the next
 	// one. A stream that is late in any case is left to the usual timeouts. Nothing is
 	// gained by waiting for an engine that others have found silent.
@@ -172,7 +185,7 @@
 		}
 		double reserveNanos = switch (cause) {
 			case LONE_SILENCE -> restart.meanNanos() + restart.deviationNanos();
-			case SHARED_SILENCE -> JOINT_RESTART_FACTOR * restart.meanNanos() + restart.deviationNanos();
+			case SHARED_SILENCE -> jointRestartNanos(restart);
 			case SILENT_ENGINE -> Double.POSITIVE_INFINITY;
 		};
 		return silence.nanos() + this.checkPeriodNanos + reserveNanos >= limitNanos;
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/RestartTimesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/RestartTimesTest.java
@@ -27,9 +27,7 @@
 	 */
 	@Test
 	void addsObservedQueueingToPrefill() {
-		UpstreamInstance instance = new UpstreamInstance("e", "model", new Address("10.0.0.1", 80), "dc", false, 1, 1);
-		EnginePath path = new EnginePath(List.of(new PathStage(
-				new EngineInstance(instance, "kind", Optional.of(new LayerRange(0, 10)), 1), new LayerRange(0, 10))));
+		EnginePath path = path("model");
 		RestartTimes times = new RestartTimes();
 		assertThat(times.estimate(PROFILE, path, 1000).meanNanos()).isWithin(1).of(46e6);
 		for (int i = 0; i < 50; i++) {
@@ -38,4 +36,21 @@
 		assertThat(times.estimate(PROFILE, path, 1000).meanNanos()).isWithin(1e3).of(146e6);
 	}
 
+	/** Fails if the queueing at one service makes the restarts at another look longer. */
+	@Test
+	void learnsEachServiceByItself() {
+		RestartTimes times = new RestartTimes();
+		for (int i = 0; i < 50; i++) {
+			times.record(PROFILE, path("crowded"), 500, Duration.ofMillis(100 + 10 * i));
+		}
+		assertThat(times.estimate(PROFILE, path("crowded"), 1000).meanNanos()).isAtLeast(300e6);
+		assertThat(times.estimate(PROFILE, path("model"), 1000).meanNanos()).isWithin(1).of(46e6);
+	}
+
+	private static EnginePath path(String service) {
+		UpstreamInstance instance = new UpstreamInstance("e", service, new Address("10.0.0.1", 80), "dc", false, 1, 1);
+		return new EnginePath(List.of(new PathStage(
+				new EngineInstance(instance, "kind", Optional.of(new LayerRange(0, 10)), 1), new LayerRange(0, 10))));
+	}
+
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/StreamMovePlannerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/StreamMovePlannerTest.java
@@ -227,6 +227,23 @@
 		assertThat(estimated).isEmpty();
 	}
 
+	/**
+	 * Fails if streams move for a short shared silence since their restart grows so long
+	 * in an overload that no time is left to wait.
+	 */
+	@Test
+	void demandsSignificantSilenceWhenRestartTakesLong() {
+		add(3, true, "slow");
+		add(8, true, "sound");
+		this.restarts = (stream, avoidedIds) -> Optional.empty();
+		run(1, CRASH_MILLIS, (i) -> i >= 3 || this.random.nextInt(20) == 0);
+		this.restarts = (stream, avoidedIds) -> Optional.of(new RestartEstimate(120 * MILLI, 20 * MILLI));
+		run(CRASH_MILLIS, CRASH_MILLIS + 200, (i) -> i >= 3);
+		this.moves.keySet()
+			.forEach((move) -> assertThat((double) move.silenceNanos())
+				.isAtLeast(move.stream().pace().significantNanos()));
+	}
+
 	/** Fails if moves away from an engine that goes on at once are not counted. */
 	@Test
 	void countsNeedlessMoves() {
