Check the path and the retries again before each move of a check

All moves of a check were planned before the first was carried out, so that streams were given up although an earlier move had taken the last room or retry.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EarlyMoves.java
@@ -257,7 +257,9 @@
 
 	private void carryOut(StreamMove move, RelayAttempt attempt, long nowNanos) {
 		RelayExchange exchange = attempt.exchange();
-		if (hasGoneOn(move, attempt) || !mayMove(exchange) || takesLastExecution(move, exchange)) {
+		// The moves before may have taken the retries or the path that this one needs.
+		if (hasGoneOn(move, attempt) || takesLastExecution(move, exchange)
+				|| estimateRestart(attempt, this.avoidedIds, nowNanos).isEmpty()) {
 			return;
 		}
 		this.planner.recordMoved(move, nowNanos);
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -225,6 +225,20 @@
 		assertThat(this.registry.getCounters()).doesNotContainKey("streams.after_loss.on_time");
 	}
 
+	/** Fails if several streams are given up for a path with room for one. */
+	@Test
+	void movesNoFurtherStreamToPathThatBecameFull() {
+		RelayAttempt first = startStream(put("lost-1"));
+		long nowNanos = startStream(put("lost-2")).lastActivityNanos() + SILENCE_NANOS;
+		put("other");
+		this.onMove = (attempt) -> {
+			this.moved.add(attempt);
+			this.health.recordSaturation("other", nowNanos);
+		};
+		earlyMoves(true).check(nowNanos);
+		assertThat(this.moved).containsExactly(first);
+	}
+
 	/** Takes the events of an attempt without any effect. */
 	private static final class IgnoringListener implements AttemptListener {
 
