Recognize returning clients by the last minute of their team

The longest time that any client had granted on a route made all later requests with shorter times count as sent again, for good, and so go ahead of new ones and past full upstreams.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WaitingRequests.java
@@ -112,7 +112,7 @@
 			return;
 		}
 		long nowNanos = this.clock.nanos();
-		exchange.setReturning(this.returningCallers.record(exchange));
+		exchange.setReturning(this.returningCallers.record(exchange, nowNanos));
 		ServiceQueue queue = queue(exchange);
 		boolean isBehind = queue.waiting.sizeUpTo(rank(exchange)) > 0;
 		if (!isBehind && tryStart(exchange)) {
