--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
@@ -112,7 +112,7 @@
 				.addKeyValue("kind", this.kind)
 				.addKeyValue("source", current.map(Address::toString).orElse("store"))
 				.addKeyValue("reason", reason)
-				.log("source of changes is another one");
+				.log("source of changes switched");
 		}
 	}
 
