--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -41,23 +41,12 @@
 	 */
 	static final Duration CHECK_PERIOD = Duration.ofMillis(25);
 
-	/**
-	 * Maximum number of attempts of a request, including rejected ones.
-	 */
-	private static final int MAX_ATTEMPTS = 5;
-
 	/**
 	 * A rejection within this time means that the engine is saturated; a dead engine is
 	 * reported only after a longer silence.
 	 */
 	private static final Duration MAX_SATURATION_REPLY_TIME = Duration.ofMillis(700);
 
-	/**
-	 * Streams under way to another path for each retry that is kept for them; about a
-	 * fifth of them find no room or no connection there.
-	 */
-	private static final int MOVES_PER_SPARE_RETRY = 4;
-
 	/** Minimum time before the deadline for an attempt to be worth sending. */
 	private static final Duration MIN_REMAINING_TIME = Duration.ofMillis(30);
 
@@ -86,7 +75,7 @@
 
 	private final UpstreamSelector selector;
 
-	private final RetryBudgets retryBudgets;
+	private final RetryPolicy retryPolicy;
 
 	private final RequestLog requestLog;
 
@@ -121,17 +110,17 @@
 		this.expectedCost = settings.features().expectedCost();
 		this.selector.useExpectedCost(this.expectedCost);
 		this.selector.reload(settings.features().waiting());
-		this.retryBudgets = new RetryBudgets(settings, DEFAULT_DAEMON_COUNT);
+		this.retryPolicy = new RetryPolicy(settings, DEFAULT_DAEMON_COUNT, this::isSuspected, clock);
 		this.requestLog = new RequestLog(logger, clock);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock, this::handleSentEnded);
 		this.earlyMoves = new EarlyMoves(settings, this.inFlight, this.selector, this.health,
-				(service) -> configuration().map((present) -> present.profilesByService().get(service)), this::mayMove,
-				this::handleFailedAttempt, metrics, this.requestLog);
+				(service) -> configuration().map((present) -> present.profilesByService().get(service)),
+				this.retryPolicy::mayMove, this::handleFailedAttempt, metrics, this.requestLog);
 		this.waiting = new WaitingRequests(settings.features().waiting(),
 				new WaitingRequests.Upstreams(this.selector::room, this::sendOrReject), this.inFlight::fail, metrics,
 				clock, random);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
-				engineProber, this.inFlight, this::mayRetry, this::handleFailedAttempt, this.earlyMoves);
+				engineProber, this.inFlight, this.retryPolicy::mayRetry, this::handleFailedAttempt, this.earlyMoves);
 		this.crashTracker = new CrashTracker(clock,
 				(engine, onResult) -> engineProber.probe(engine, Duration.ZERO, clock.nanos(),
 						(probed, report) -> controlThread.post(() -> onResult.accept(report.isEmpty()))),
@@ -185,7 +174,7 @@
 	void reload(RelaySettings changed) {
 		this.controlThread.post(() -> {
 			this.admission.reload(changed);
-			this.retryBudgets.reload(changed);
+			this.retryPolicy.reload(changed);
 			this.earlyMoves.reload(changed);
 			this.expectedCost = changed.features().expectedCost();
 			this.selector.useExpectedCost(this.expectedCost);
@@ -205,7 +194,7 @@
 		this.controlThread.assertOnControlThread();
 		this.fleetLoad.updateDaemonCount(Math.max(1, count));
 		this.admission.updateDaemonCount(count);
-		this.retryBudgets.updateDaemonCount(Math.max(1, count));
+		this.retryPolicy.updateDaemonCount(Math.max(1, count));
 		this.selector.updateDaemonCount(Math.max(1, count));
 	}
 
@@ -274,7 +263,7 @@
 			this.inFlight.reject(exchange, rejection.get());
 			return;
 		}
-		this.retryBudgets.recordRequest(exchange.rule(), this.clock.nanos());
+		this.retryPolicy.recordRequest(exchange.rule());
 		this.waiting.submit(exchange);
 	}
 
@@ -390,8 +379,7 @@
 				exchange.suspectedUpstreams().addAll(attempt.upstreamIds());
 			}
 			Runnable forwardError = () -> this.inFlight.forwardError(attempt, head, upstreamHead, body);
-			if (exchange.rule().isRetryable() && head.status() >= 500
-					&& exchange.executions() < exchange.rule().maxExecutions()) {
+			if (head.status() >= 500 && RetryPolicy.mayExecuteAgain(exchange)) {
 				retryOrElse(exchange, reason, forwardError);
 				return;
 			}
@@ -478,7 +466,7 @@
 	// Retries a request that an upstream may have executed, or fails it.
 	private void retryExecuted(RelayExchange exchange, String reason) {
 		Runnable fail = () -> this.inFlight.fail(exchange, reason, InFlightRequests.RETRY_AFTER_BUSY);
-		if (exchange.rule().isRetryable() && exchange.executions() < exchange.rule().maxExecutions()) {
+		if (RetryPolicy.mayExecuteAgain(exchange)) {
 			retryOrElse(exchange, reason, fail);
 			return;
 		}
@@ -486,7 +474,7 @@
 	}
 
 	private void retryOrElse(RelayExchange exchange, String reason, Runnable fallback) {
-		Optional<String> denial = acquireRetry(exchange);
+		Optional<String> denial = this.retryPolicy.acquire(exchange);
 		if (denial.isPresent()) {
 			this.requestLog.logRetryDenied(exchange, reason, denial.get());
 			fallback.run();
@@ -499,22 +487,8 @@
 		}
 	}
 
-	// Takes a retry from the budget. Returns empty on success, or the reason why the
-	// request must not be retried.
-	private Optional<String> acquireRetry(RelayExchange exchange) {
-		if (!exchange.isResumable()) {
-			return Optional.of("the response has already started and cannot be resumed");
-		}
-		if (exchange.attempts() >= MAX_ATTEMPTS) {
-			return Optional.of("the maximum number of attempts is reached");
-		}
-		if (this.crashTracker.isSuspected(exchange, this.clock.nanos())) {
-			return Optional.of("a part of the prompt has crashed engines");
-		}
-		if (!this.retryBudgets.tryAcquire(exchange.rule(), this.clock.nanos())) {
-			return Optional.of("the retry budget is exhausted");
-		}
-		return Optional.empty();
+	private boolean isSuspected(RelayExchange exchange) {
+		return this.crashTracker.isSuspected(exchange, this.clock.nanos());
 	}
 
 	private void handleClientDisconnect(RelayExchange exchange) {
@@ -553,21 +527,4 @@
 		}
 	}
 
-	// Returns whether a stream may be moved while others that were moved have no event
-	// yet. A moved stream without another retry would be broken off if its new path has
-	// no room either, and one with a part that has crashed engines would not be retried.
-	private boolean mayMove(RelayExchange exchange, int movesUnderWay) {
-		return mayRetry(exchange) && this.retryBudgets.hasOptionalRetry(exchange.rule(),
-				1 + movesUnderWay / MOVES_PER_SPARE_RETRY, this.clock.nanos())
-				&& !this.crashTracker.isSuspected(exchange, this.clock.nanos());
-	}
-
-	// Returns whether a retry is possible. A late response alone is no reason to fail a
-	// request, so without a possible retry the attempt continues.
-	private boolean mayRetry(RelayExchange exchange) {
-		return exchange.rule().isRetryable() && exchange.executions() < exchange.rule().maxExecutions()
-				&& exchange.attempts() < MAX_ATTEMPTS && exchange.isResumable()
-				&& this.retryBudgets.hasRetry(exchange.rule(), this.clock.nanos());
-	}
-
 }
