Fill in the port range when the review scripts start a daemon

Cause: deploy/router.toml got sections for port-range, and review/standins/Daemon.java filled in only the sections of bounds, so that the daemon refused its settings and each review/*/run.sh ended with "could not run".

Only the start of the daemon changes: the address for messages between daemons gets a free port of its own. No check is touched.

--- a/review/standins/Daemon.java
+++ b/review/standins/Daemon.java
@@ -22,12 +22,15 @@
 
 	final int readyPort;
 
+	final int siblingPort;
+
 	final Process process;
 
 	Daemon(String name, String zone, int storePort) throws IOException {
 		this.name = name;
 		this.port = freePort();
 		this.readyPort = freePort();
+		this.siblingPort = freePort();
 		Path folder = Files.createTempDirectory("review-");
 		folder.toFile().deleteOnExit();
 		Path settings = folder.resolve("local.toml");
@@ -56,7 +59,11 @@
 			.replace("{{zone}}", zone)
 			.replace("{{listen.frontend}}", "127.0.0.1:" + this.port)
 			.replace("{{listen.ready}}", "127.0.0.1:" + this.readyPort)
+			.replace("{{ip}}", "127.0.0.1")
 			.replace("{{platform.address}}", "127.0.0.1:" + storePort);
+		text = Pattern.compile("(?s)\\{\\{#port-range\\.0\\}\\}(.*?)\\{\\{/port-range\\.0\\}\\}")
+			.matcher(text)
+			.replaceAll((section) -> section.group(1).replace("{{.}}", Integer.toString(this.siblingPort)));
 		String[][] bounds = { { "revoke-ms", "5000" }, { "drain-ms", "2000" }, { "config-apply-ms", "2000" },
 				{ "contact-ms", "3000" }, { "grace-s", "8" }, { "retry-budget-ratio", "0.2" }, { "retry-slack", "202" },
 				{ "retry-window-s", "10" } };
