Log requests that are taken on a closed connection

Two warnings now tell which way a request was lost: one for a request taken on a connection that is closed, one for a connection that this daemon closes before its response is complete.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -14,6 +14,8 @@
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.util.HttpStatus;
 import org.glassfish.grizzly.memory.Buffers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * State of one client connection: the request being read and the response being written.
@@ -21,6 +23,8 @@
  */
 final class RelayServerConnection {
 
+	private static final Logger logger = LoggerFactory.getLogger(RelayServerConnection.class);
+
 	private static final byte[] NO_BODY = {};
 
 	private final Connection<?> connection;
@@ -108,9 +112,21 @@
 			}
 			this.currentResponse = response;
 		}
+		if (!this.connection.isOpen()) {
+			logEvent("request taken on a closed connection", response);
+		}
 		this.handler.handle(request, response);
 	}
 
+	// Such events end a request without an answer, and tell why its connection closed.
+	private void logEvent(String message, Response affected) {
+		logger.atWarn()
+			.addKeyValue("client", this.connection.getPeerAddress())
+			.addKeyValue("target", requestTarget(affected.request))
+			.addKeyValue("draining", this.draining.getAsBoolean())
+			.log(message);
+	}
+
 	// Keeps one request until the response in progress has ended. More than one is
 	// pipelining, which is not supported.
 	private void queueOrClose(NextRequest queued) {
@@ -171,12 +187,16 @@
 		return (query != null) ? packet.getRequestURI() + "?" + query : packet.getRequestURI();
 	}
 
-	void handleClose() {
+	// Handles the end of the connection, by either side.
+	void handleClose(boolean closedHere) {
 		Runnable action;
 		synchronized (this) {
 			if (this.currentResponse == null) {
 				return;
 			}
+			if (closedHere) {
+				logEvent("connection closed here before its response was complete", this.currentResponse);
+			}
 			action = this.currentResponse.markDisconnected();
 		}
 		action.run();
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerFilter.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -83,7 +84,7 @@
 		RelayServerConnection connection = this.connectionAttribute.get(context.getConnection());
 		if (connection != null) {
 			this.openConnections.remove(connection);
-			connection.handleClose();
+			connection.handleClose(context.getConnection().getCloseReason().getType() == CloseType.LOCALLY);
 		}
 		return context.getInvokeAction();
 	}
