End a planned stop only when every response is sent

Cause: the shutdown waited for the count of requests in flight alone. A request that waits for the control thread is not counted yet, a response whose last bytes wait for a slow client is not counted any more, and what was in flight at the end of the grace period was cut off without a word. Connections that the listener had accepted were reset unread.

Change: the shutdown also waits until the server has sent all responses; at the end of the grace period requests in flight are failed with the truth about whether they ran. The listener stays open until the exit and refuses requests as not run.

KeptConnectionTest.isAnsweringUntilLastByteIsSent.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -13,7 +13,6 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.codahale.metrics.MetricRegistry;
@@ -54,26 +53,6 @@
 	/** Period of closing idle connections and of updating the view for placement. */
 	private static final Duration HOUSEKEEPING_PERIOD = Duration.ofMillis(200);
 
-	/**
-	 * Time from the start of the shutdown until idle connections are closed and new
-	 * connections and requests are refused. By then the load balancer has sent clients
-	 * elsewhere. Requests that clients send up to 3 s after the signal may be cut off at
-	 * the end of the grace period; the signal comes before the start of the shutdown, by
-	 * some hundred milliseconds on a busy machine.
-	 */
-	private static final Duration REFUSAL_DELAY = Duration.ofMillis(2500);
-
-	/** Part of the grace period that is reserved for ending the process. */
-	private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
-
-	/**
-	 * Idle time after which a connection is closed in a shutdown. A client that has its
-	 * next request ready sends it sooner, and is answered.
-	 */
-	private static final Duration MIN_IDLE_TIME = Duration.ofMillis(500);
-
-	private static final Duration DRAIN_POLL_PERIOD = Duration.ofMillis(50);
-
 	/** Maximum time that a readiness check takes to arrive. */
 	private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(5);
 
@@ -260,25 +239,15 @@
 	 * connections, and returns when no request is in flight or the grace period is over.
 	 */
 	public void shutDown() {
-		long startNanos = this.clock.nanos();
-		logger.atInfo().addKeyValue("open", this.relayControl.inFlightCount()).log("daemon shutting down");
-		long refuseAtNanos = startNanos + REFUSAL_DELAY.toNanos();
-		this.relayControl.startDraining(refuseAtNanos);
-		this.callerServer.closeAfterResponses();
 		this.placementRunner.close();
-		long deadlineNanos = startNanos + this.settings.shutdownGrace().minus(EXIT_MARGIN).toNanos();
 		try {
-			TimeUnit.NANOSECONDS.sleep(Math.min(refuseAtNanos, deadlineNanos) - this.clock.nanos());
-			this.callerServer.stopAccepting();
-			while (this.clock.nanos() < deadlineNanos && this.relayControl.inFlightCount() > 0) {
-				this.callerServer.closeIdleConnections(MIN_IDLE_TIME);
-				TimeUnit.NANOSECONDS.sleep(DRAIN_POLL_PERIOD.toNanos());
-			}
+			new GracefulShutdown(new GracefulShutdown.Requests(this.relayControl::inFlightCount,
+					this.relayControl::startDraining, this.relayControl::failInFlight), this.callerServer, this.clock)
+				.run(this.settings.shutdownGrace());
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-		logger.atInfo().addKeyValue("open", this.relayControl.inFlightCount()).log("daemon stopped");
 		close();
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
@@ -76,6 +76,16 @@
 		finish(exchange, (sent ? (notExecuted ? "refused: " : "failed: ") : "broken off: ") + reason);
 	}
 
+	// Ends all requests that have not ended, and cancels their attempts.
+	void failAll(String reason) {
+		for (RelayExchange exchange : snapshot()) {
+			if (exchange.currentAttempt() != null) {
+				exchange.currentAttempt().cancel();
+			}
+			fail(exchange, reason, RETRY_AFTER_BUSY);
+		}
+	}
+
 	// Ends a request whose deadline has passed.
 	void timeOut(RelayExchange exchange) {
 		RelayAttempt attempt = exchange.currentAttempt();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -189,6 +189,11 @@
 		this.controlThread.post(() -> this.admission.startDraining(refuseFromNanos));
 	}
 
+	// Ends the requests in flight, with the truth about whether they ran.
+	void failInFlight(String reason) {
+		this.controlThread.post(() -> this.inFlight.failAll(reason));
+	}
+
 	// Updates the number of daemons, including this one.
 	void updateDaemonCount(int count) {
 		this.controlThread.assertOnControlThread();
--- a/mulberrycross/src/test/java/org/mulberrycross/http/KeptConnectionTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/KeptConnectionTest.java
@@ -120,6 +120,29 @@
 		}
 	}
 
+	/**
+	 * Fails if the end of a response counts as sent while it waits for the client, so
+	 * that the process may exit before.
+	 */
+	@Test
+	void isAnsweringUntilLastByteIsSent() throws Exception {
+		try (Socket client = RawHttp.connect(this.port)) {
+			assertThat(this.server.isAnswering()).isFalse();
+			request(client, "/first");
+			Taken first = take();
+			assertThat(this.server.isAnswering()).isTrue();
+			first.respond("a".repeat(LARGE_BODY_BYTES));
+			this.server.closeIdleConnections(Duration.ZERO);
+			assertThat(this.server.isAnswering()).isTrue();
+			assertThat(readUntil(client, "\r\n\r\n")).contains(" 200 ");
+			client.getInputStream().readNBytes(LARGE_BODY_BYTES);
+			request(client, "/next");
+			take().respond("next");
+			assertThat(readUntil(client, "next")).contains(" 200 ");
+			awaitSent();
+		}
+	}
+
 	/**
 	 * Fails if a request whose client already sent the next one announces a close, so
 	 * that the next one, which was read, is not answered.
