Queue pipelined requests in place of closing their connection

Change: up to 64 requests wait for the responses before them. One more is not taken; the response to the last one that waits announces that the connection closes.

Before: KeptConnectionTest.answersPipelinedRequestsInOrder finds the fourth request taken on the closed connection, and closesAfterResponsesToTooManyPipelinedRequests fails; both pass now.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -34,6 +34,9 @@
 	private static final Runnable NO_ACTION = () -> {
 	};
 
+	/** Maximum number of requests of a client that wait for the responses before them. */
+	private static final int MAX_WAITING_REQUESTS = 64;
+
 	/**
 	 * Maximum time from the end of the output to the close. The client has read the end
 	 * of its response by then, even if segments are sent again.
@@ -155,11 +158,11 @@
 			.log(message);
 	}
 
-	// Keeps one request until the response in progress has ended. More than one is
-	// pipelining, which is not supported.
+	// Keeps a request until the responses before it have ended. A client that pipelines
+	// too many is answered up to the limit, and told that its connection closes.
 	private void queue(NextRequest queued) {
-		if (!this.nextRequests.isEmpty()) {
-			closeNow();
+		if (this.nextRequests.size() == MAX_WAITING_REQUESTS) {
+			this.broken = true;
 			return;
 		}
 		this.nextRequests.add(queued);
--- a/mulberrycross/src/test/java/org/mulberrycross/http/KeptConnectionTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/KeptConnectionTest.java
@@ -30,6 +30,8 @@
 	/** Exceeds what the sockets of both sides buffer, so that a part waits to be sent. */
 	private static final int LARGE_BODY_BYTES = 7 << 20;
 
+	private static final int PIPELINED_REQUESTS = 60;
+
 	private final BlockingQueue<Taken> taken = new LinkedBlockingQueue<>();
 
 	private RelayServer server;
@@ -143,6 +145,50 @@
 		}
 	}
 
+	/** Fails if pipelined requests are lost, or answered in another order. */
+	@Test
+	void answersPipelinedRequestsInOrder() throws Exception {
+		try (Socket client = RawHttp.connect(this.port)) {
+			pipeline(client, PIPELINED_REQUESTS);
+			for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+				Taken next = take();
+				assertThat(next.target()).isEqualTo("/" + i);
+				assertThat(this.taken).isEmpty();
+				next.respond("body-" + i + ".");
+				assertThat(readUntil(client, "body-" + i + ".")).contains(" 200 ");
+			}
+		}
+	}
+
+	/**
+	 * Fails if a client that pipelines too many requests loses the responses to those
+	 * that were taken, or is not told that no other follows.
+	 */
+	@Test
+	void closesAfterResponsesToTooManyPipelinedRequests() throws Exception {
+		try (Socket client = RawHttp.connect(this.port)) {
+			pipeline(client, 4 * PIPELINED_REQUESTS);
+			Taken first = take();
+			awaitReadsBefore();
+			first.respond("first");
+			String received = readUntil(client, "first");
+			while (!received.contains("Connection: close")) {
+				take().respond("body.");
+				received = readUntil(client, "body.");
+			}
+			assertThat(client.getInputStream().read()).isEqualTo(-1);
+			assertThat(this.taken).isEmpty();
+		}
+	}
+
+	private static void pipeline(Socket client, int count) {
+		StringBuilder requests = new StringBuilder();
+		for (int i = 0; i < count; i++) {
+			requests.append("GET /").append(i).append(" HTTP/1.1\r\nHost: h\r\n\r\n");
+		}
+		RawHttp.send(client, requests.toString(), false);
+	}
+
 	/**
 	 * Fails if a request whose client already sent the next one announces a close, so
 	 * that the next one, which was read, is not answered.
