Do not count a request whose client left before it was started

A planned stop waited for its whole grace period: a request that counts as in flight for good.

Cause: a request that waits for the response before it is passed on without the lock of its connection. If the connection closes in between, the end of the request reaches the control thread before its start, and was followed by it.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/InFlightRequests.java
@@ -55,9 +55,14 @@
 		return List.copyOf(this.exchanges);
 	}
 
-	void add(RelayExchange exchange) {
+	// Adds a request, unless its client has left before. Returns whether it was added.
+	boolean add(RelayExchange exchange) {
+		if (exchange.isFinished()) {
+			return false;
+		}
 		this.exchanges.add(exchange);
 		this.count = this.exchanges.size();
+		return true;
 	}
 
 	// Ends a request that was not admitted.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -255,8 +255,9 @@
 	}
 
 	private void startRequest(RelayExchange exchange) {
-		this.inFlight.add(exchange);
-		admitOrWait(exchange);
+		if (this.inFlight.add(exchange)) {
+			admitOrWait(exchange);
+		}
 	}
 
 	private void admitOrWait(RelayExchange exchange) {
