Start the streams of EarlyMovesTest close together

Cause: the test gives both streams the time of the second one plus 230 ms. If the machine started the first one more than some milliseconds earlier, that one is late in any case, so that the planner leaves it alone and rightly moves the other.

--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -52,6 +52,9 @@
 
 	private static final long SILENCE_NANOS = Duration.ofMillis(230).toNanos();
 
+	/** Less than the time from the silence above until a stream is late in any case. */
+	private static final long MAX_GAP_NANOS = Duration.ofMillis(2).toNanos();
+
 	private final UpstreamDirectory directory = new UpstreamDirectory();
 
 	private final UpstreamHealth health = new UpstreamHealth();
@@ -125,6 +128,20 @@
 		return attempt;
 	}
 
+	// Starts two streams whose last events are so close that both can be on time if they
+	// are moved. On a busy machine a pair may need several attempts.
+	private List<RelayAttempt> startStreamsTogether(EngineInstance firstEngine, EngineInstance secondEngine) {
+		RelayAttempt first = startStream(firstEngine);
+		RelayAttempt second = startStream(secondEngine);
+		while (second.lastActivityNanos() - first.lastActivityNanos() > MAX_GAP_NANOS) {
+			this.inFlight.finish(first.exchange(), "too far apart");
+			this.inFlight.finish(second.exchange(), "too far apart");
+			first = startStream(firstEngine);
+			second = startStream(secondEngine);
+		}
+		return List.of(first, second);
+	}
+
 	/**
 	 * Fails if a silent stream is given up although no other path or no retry is left, or
 	 * if it is moved without the setting.
@@ -166,8 +183,9 @@
 	 */
 	@Test
 	void movesEachStreamThatIsStillSilent() {
-		RelayAttempt first = startStream(put("lost-1"));
-		RelayAttempt second = startStream(put("lost-2"));
+		List<RelayAttempt> streams = startStreamsTogether(put("lost-1"), put("lost-2"));
+		RelayAttempt first = streams.get(0);
+		RelayAttempt second = streams.get(1);
 		put("other");
 		long nowNanos = second.lastActivityNanos() + SILENCE_NANOS;
 		earlyMoves(true).check(nowNanos);
@@ -230,8 +248,9 @@
 	/** Fails if several streams are given up for a path with room for one. */
 	@Test
 	void movesNoFurtherStreamToPathThatBecameFull() {
-		RelayAttempt first = startStream(put("lost-1"));
-		long nowNanos = startStream(put("lost-2")).lastActivityNanos() + SILENCE_NANOS;
+		List<RelayAttempt> streams = startStreamsTogether(put("lost-1"), put("lost-2"));
+		RelayAttempt first = streams.get(0);
+		long nowNanos = streams.get(1).lastActivityNanos() + SILENCE_NANOS;
 		put("other");
 		this.onMove = (attempt) -> {
 			this.moved.add(attempt);
