Close kept connections by what their clients have received

It is terminated once nothing of its response has moved for the idle timeout; slow clients that go on reading are not. - The idle time counted from the end of a response that was not sent yet, so a slow client lost its connection before its next request. It counts from the last byte sent. - A request with a body that is too long cut off the response before it (messages between daemons). That response is sent, and the connection closed after it. - A request that crosses the close of an idle connection was read and discarded. Such a connection is closed directly, so that the request is reset unread. - Connections were not checked before the first configuration.

KeptConnectionTest: terminatesConnectionOfClientThatStopsReading (the review: open after 6 s of checks with 100 ms), idleTimeStartsWhenResponseIsSent (the review: the next request was dropped), sendsResponseBeforeRequestWithTooLongBody (the review: the end was lost), takesNoRequestOnConnectionClosedAsIdle.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServer.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServer.java
@@ -126,7 +126,7 @@
 
 	/**
 	 * Closes the connections without a request in progress. No request is taken on them
-	 * any more; what a client still sends is discarded until it closes the connection.
+	 * any more.
 	 * @param minIdleTime the time since the last response from which a connection is
 	 * closed, not null
 	 */
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServerConnection.java
@@ -67,6 +67,9 @@
 	/** Whether no request is taken any more, since the connection closes or is closed. */
 	private boolean closing;
 
+	/** Number of bytes that waited to be written at the last check of a slow client. */
+	private int lastQueuedBytes;
+
 	/** Number of ended responses whose last byte has not been passed to the socket. */
 	private int pendingFlushes;
 
@@ -120,7 +123,7 @@
 			}
 			if (content.getContent() != null && content.getContent().hasRemaining()) {
 				if (content.getContent().remaining() > this.maxBodyBytes - this.requestBody.size()) {
-					closeNow();
+					refuseBody();
 					return;
 				}
 				byte[] data = new byte[content.getContent().remaining()];
@@ -175,8 +178,18 @@
 		return next;
 	}
 
-	// Closes the connection at once. Bytes that were not sent yet may be lost.
-	private void closeNow() {
+	// Takes no more of a request whose body is too long. The response under way is sent.
+	private void refuseBody() {
+		this.requestBody = new ByteArrayOutputStream(0);
+		this.broken = true;
+		if (this.currentResponse == null) {
+			close();
+		}
+	}
+
+	// Closes the connection once what is queued has been written. Bytes that the client
+	// has sent and that are not read reset it, which tells that they were not read.
+	private void close() {
 		this.closing = true;
 		this.nextRequests.clear();
 		this.connection.closeSilently();
@@ -269,20 +282,37 @@
 		if (this.currentResponse != null) {
 			return;
 		}
-		if (this.closing && this.pendingFlushes == 0) {
+		if (this.pendingFlushes > 0) {
+			terminateIfStalled(nowNanos, idleTimeout);
+		}
+		else if (this.closing) {
 			closeIfOlder(nowNanos, MAX_CLOSE_TIME);
 		}
-		else if (this.requestStarted || this.pendingFlushes > 0) {
-			closeIfOlder(nowNanos, this.requestStarted ? requestTimeout : idleTimeout);
+		else if (this.requestStarted) {
+			closeIfOlder(nowNanos, requestTimeout);
 		}
 		else {
 			closeIfIdle(nowNanos, idleTimeout);
 		}
 	}
 
+	// Gives up a client that has read nothing of its response for a time. An orderly
+	// close would wait for it.
+	private void terminateIfStalled(long nowNanos, Duration timeout) {
+		int queuedBytes = ((NIOConnection) this.connection).getAsyncWriteQueue().spaceInBytes();
+		if (queuedBytes != this.lastQueuedBytes) {
+			this.lastQueuedBytes = queuedBytes;
+			this.timeoutStartNanos = nowNanos;
+		}
+		else if (nowNanos - this.timeoutStartNanos > timeout.toNanos()) {
+			this.closing = true;
+			this.connection.terminateSilently();
+		}
+	}
+
 	private void closeIfOlder(long nowNanos, Duration timeout) {
 		if (nowNanos - this.timeoutStartNanos > timeout.toNanos()) {
-			closeNow();
+			close();
 		}
 	}
 
@@ -290,15 +320,21 @@
 	synchronized void closeIfIdle(long nowNanos, Duration minIdleTime) {
 		if (!this.closing && !isAnswering() && !this.requestStarted
 				&& nowNanos - this.timeoutStartNanos >= minIdleTime.toNanos()) {
-			closeAfterInput();
+			close();
 		}
 	}
 
 	private synchronized void handleFlushed() {
 		this.pendingFlushes = Math.max(0, this.pendingFlushes - 1);
-		if (this.closing && this.pendingFlushes == 0) {
+		if (this.pendingFlushes > 0) {
+			return;
+		}
+		if (this.closing) {
 			closeAfterInput();
 		}
+		else if (!this.requestStarted) {
+			this.timeoutStartNanos = System.nanoTime();
+		}
 	}
 
 	private void closeAfterFlush() {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -53,6 +53,9 @@
 	/** Period of closing idle connections and of updating the view for placement. */
 	private static final Duration HOUSEKEEPING_PERIOD = Duration.ofMillis(200);
 
+	/** Timeout of clients until a configuration names theirs. */
+	private static final Duration UNCONFIGURED_IDLE_TIMEOUT = Duration.ofSeconds(60);
+
 	/** Maximum time that a readiness check takes to arrive. */
 	private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(5);
 
@@ -219,8 +222,9 @@
 		this.readinessServer.closeTimedOutConnections(PROBE_TIMEOUT, PROBE_IDLE_TIMEOUT);
 		this.placementView.set(this.relayControl.placementView());
 		Optional<CallerLimits> limits = this.relayControl.configuration().map(ServingConfiguration::limits);
-		limits.ifPresent((current) -> this.callerServer.closeTimedOutConnections(current.requestTimeout(),
-				current.idleTimeout()));
+		this.callerServer.closeTimedOutConnections(
+				limits.map(CallerLimits::requestTimeout).orElse(UNCONFIGURED_IDLE_TIMEOUT),
+				limits.map(CallerLimits::idleTimeout).orElse(UNCONFIGURED_IDLE_TIMEOUT));
 	}
 
 	private void handleProbe(RelayRequest request, ResponseWriter response) {
