Keep long-lived threads going after an Error

KindWatcher.run and the loops of the other traffic threads caught RuntimeException at most. ControlThread.runEvent did the same, and a periodic event that throws is not scheduled again.

Used by the three followers, the control thread, router-census, crash-events, placement, settings and load-exchange, and by configuration-follower, configuration-publisher and intents of the other daemon. Engine probes report an Error as no reply, and the client filters fail an exchange whose part could not be processed. The loops of placement, settings, router-census and crash-events outlive a RuntimeException as well.

--- a/mulberrycross/src/main/java/org/mulberrycross/ControlThread.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/ControlThread.java
@@ -14,7 +14,7 @@
  * Single thread that owns all control state of a daemon. Traffic threads submit events to
  * it and read the immutable snapshots that it publishes. The queue of new work is
  * bounded, and new work is refused while it is full; events about accepted work are never
- * refused. Thread-safe.
+ * refused. An {@link Error} ends one event only; see {@link Supervisor}. Thread-safe.
  */
 public final class ControlThread implements AutoCloseable {
 
@@ -26,6 +26,9 @@
 
 	private final Semaphore offerPermits;
 
+	/** Used by the thread only. */
+	private final Supervisor supervisor;
+
 	private volatile Thread thread;
 
 	/**
@@ -39,10 +42,10 @@
 		if (maxQueuedOffers < 1) {
 			throw new IllegalArgumentException("maxQueuedOffers " + maxQueuedOffers + " is less than 1");
 		}
+		this.supervisor = new Supervisor(name);
 		this.offerPermits = new Semaphore(maxQueuedOffers);
 		this.executor = Executors.newSingleThreadScheduledExecutor((task) -> {
-			Thread created = new Thread(task, name);
-			created.setDaemon(true);
+			Thread created = Supervisor.newThread(name, task);
 			this.thread = created;
 			return created;
 		});
@@ -104,6 +107,9 @@
 		catch (RuntimeException ex) {
 			logger.error("control event failed", ex);
 		}
+		catch (Error ex) {
+			this.supervisor.recordError(ex);
+		}
 	}
 
 	@Override
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
@@ -58,7 +58,7 @@
 		try {
 			exchange.handleContent(content);
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			// As in RelayClientFilter, a reply without this part would look complete.
 			exchange.fail(ex);
 			connection.closeSilently();
--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayClientFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayClientFilter.java
@@ -34,7 +34,7 @@
 			try {
 				call.handleContent(context.getConnection(), content);
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				// The filter chain would go on with the next part until it closes the
 				// connection, and a response without this part would look complete.
 				call.fail("response cannot be processed: " + ex);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/ConfigurationThreads.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/ConfigurationThreads.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.PeerException;
+import org.mulberrycross.Supervisor;
 import org.mulberrycross.platform.ConfigurationFollower;
 import org.mulberrycross.platform.ConfigurationPublisher;
 import org.mulberrycross.platform.HeadWatch;
@@ -75,21 +76,19 @@
 		this.publisher = Objects.requireNonNull(publisher, "publisher");
 		this.siblingSources = Objects.requireNonNull(siblingSources, "siblingSources");
 		this.random = Objects.requireNonNull(random, "random");
-		this.threads = List.of(new Thread(this::runFollower, "configuration-follower"),
-				new Thread(this::runPublisher, "configuration-publisher"));
+		this.threads = List.of(Supervisor.newThread("configuration-follower", this::runFollower),
+				Supervisor.newThread("configuration-publisher", this::runPublisher));
 	}
 
 	/**
 	 * Starts the follower and the publisher as Java daemon threads.
 	 */
 	void start() {
-		this.threads.forEach((thread) -> {
-			thread.setDaemon(true);
-			thread.start();
-		});
+		this.threads.forEach(Thread::start);
 	}
 
 	private void runFollower() {
+		Supervisor supervisor = new Supervisor("configuration-follower");
 		while (!isClosed()) {
 			try {
 				this.headWatch.poll(MAX_HEAD_WAIT);
@@ -105,6 +104,10 @@
 				logger.error("configuration cannot be updated from generation {}", this.follower.generation(), ex);
 				awaitRetryDelay();
 			}
+			catch (Error ex) {
+				supervisor.recordError(ex);
+				awaitRetryDelay();
+			}
 		}
 	}
 
@@ -122,6 +125,7 @@
 	}
 
 	private void runPublisher() {
+		Supervisor supervisor = new Supervisor("configuration-publisher");
 		while (!isClosed()) {
 			try {
 				if (!this.publisher.pollAndPublish(MAX_EDIT_WAIT) && !this.publisher.isCandidate()) {
@@ -138,6 +142,10 @@
 				logger.error("configuration cannot be published", ex);
 				awaitRetryDelay();
 			}
+			catch (Error ex) {
+				supervisor.recordError(ex);
+				awaitRetryDelay();
+			}
 		}
 		releaseLease();
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/ServiceRuntime.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/ServiceRuntime.java
@@ -16,6 +16,7 @@
 
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.Supervisor;
 import org.mulberrycross.caller.http.ServiceHandler;
 import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.operator.Configuration;
@@ -69,6 +70,9 @@
 
 	private final ScheduledExecutorService maintenanceExecutor;
 
+	/** Used by the thread of the maintenance only. */
+	private final Supervisor supervisor = new Supervisor("intents");
+
 	private final IntentLedger ledger;
 
 	private final ServiceCaller serviceCaller;
@@ -125,6 +129,9 @@
 		catch (RuntimeException ex) {
 			logger.error("maintenance of intent records failed", ex);
 		}
+		catch (Error ex) {
+			this.supervisor.recordError(ex);
+		}
 	}
 
 	private void sweepRecords() {
@@ -140,6 +147,9 @@
 		catch (RuntimeException ex) {
 			logger.error("sweep of intent records failed", ex);
 		}
+		catch (Error ex) {
+			this.supervisor.recordError(ex);
+		}
 	}
 
 	@Override
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashEventSharing.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashEventSharing.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -21,6 +22,7 @@
 
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.Supervisor;
 import org.mulberrycross.engine.CrashAttribution;
 import org.mulberrycross.engine.CrashEvent;
 import org.mulberrycross.engine.http.CrashEventCodec;
@@ -70,7 +72,7 @@
 
 	private final CountDownLatch closed = new CountDownLatch(1);
 
-	private final Thread thread = new Thread(this::run, "crash-events");
+	private final Thread thread = Supervisor.newThread("crash-events", this::run);
 
 	CrashEventSharing(ObjectStore store, ControlThread controlThread, Consumer<List<CrashEvent>> listener,
 			RandomGenerator random) {
@@ -78,7 +80,6 @@
 		this.controlThread = Objects.requireNonNull(controlThread, "controlThread");
 		this.listener = Objects.requireNonNull(listener, "listener");
 		this.random = Objects.requireNonNull(random, "random");
-		this.thread.setDaemon(true);
 	}
 
 	void start() {
@@ -94,14 +95,14 @@
 	}
 
 	private void run() {
+		Supervisor supervisor = new Supervisor("crash-events");
 		try {
 			while (this.closed.getCount() > 0) {
 				Publication next = this.publications.poll(EXPIRY_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
 				if (next != null) {
-					boolean published = publishWithRetries(next);
-					this.controlThread.post(() -> next.onResult().accept(published));
+					publishAndReport(next, supervisor);
 				}
-				deleteExpired();
+				supervisor.run(this::deleteExpired);
 			}
 		}
 		catch (InterruptedException ex) {
@@ -109,6 +110,13 @@
 		}
 	}
 
+	// The publisher always learns the result; a publication that failed is not one.
+	private void publishAndReport(Publication publication, Supervisor supervisor) throws InterruptedException {
+		AtomicBoolean published = new AtomicBoolean();
+		supervisor.run(() -> published.set(publishWithRetries(publication)));
+		this.controlThread.post(() -> publication.onResult().accept(published.get()));
+	}
+
 	// Returns whether the event was published by this call. A claim whose outcome is
 	// unknown is not one.
 	private boolean publishWithRetries(Publication publication) throws InterruptedException {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/EngineProber.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/EngineProber.java
@@ -56,7 +56,7 @@
 			try {
 				onResult.accept(engine, Optional.of(this.reporter.report(engine, PROBE_TIMEOUT)));
 			}
-			catch (PeerException | RuntimeException ex) {
+			catch (PeerException | RuntimeException | Error ex) {
 				logger.atInfo()
 					.addKeyValue("upstream", engine.id())
 					.addKeyValue("cause", ex.toString())
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -17,6 +17,7 @@
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.OutcomeUnknownException;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.Supervisor;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
 import org.mulberrycross.platform.StoredObject;
@@ -94,6 +95,8 @@
 
 	private final CountDownLatch closed = new CountDownLatch(1);
 
+	private final Supervisor supervisor;
+
 	private final Thread thread;
 
 	private final Object availabilityMonitor = new Object();
@@ -123,8 +126,8 @@
 		this.recoveryWait = Objects.requireNonNull(recoveryWait, "recoveryWait");
 		this.clock = clock;
 		this.random = random;
-		this.thread = new Thread(this::run, "follow-" + kind);
-		this.thread.setDaemon(true);
+		this.supervisor = new Supervisor("follow-" + kind);
+		this.thread = Supervisor.newThread("follow-" + kind, this::run);
 	}
 
 	void start() {
@@ -154,6 +157,12 @@
 				listed = false;
 				pause(this.random.nextInt(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS));
 			}
+			catch (Error ex) {
+				// The changes that were not applied are in the next list.
+				this.supervisor.recordError(ex);
+				listed = false;
+				pause(this.random.nextInt(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS));
+			}
 		}
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/LoadExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/LoadExchange.java
@@ -21,6 +21,7 @@
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.NotRunException;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.Supervisor;
 import org.mulberrycross.engine.EngineWork;
 import org.mulberrycross.sibling.ExchangeBudget;
 import org.mulberrycross.sibling.OwnReports;
@@ -66,7 +67,9 @@
 
 	private final CountDownLatch closed = new CountDownLatch(1);
 
-	private final Thread thread = new Thread(this::run, "load-exchange");
+	private final Thread thread = Supervisor.newThread("load-exchange", this::run);
+
+	private final Supervisor supervisor = new Supervisor("load-exchange");
 
 	/** Whether an unexpected error was logged. Confined to the thread of the exchange. */
 	private boolean failed;
@@ -84,7 +87,6 @@
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.ownReports = new OwnReports(directory.self());
-		this.thread.setDaemon(true);
 	}
 
 	void start() {
@@ -118,6 +120,10 @@
 			}
 			return ExchangeBudget.MAX_PERIOD;
 		}
+		catch (Error ex) {
+			this.supervisor.recordError(ex);
+			return ExchangeBudget.MAX_PERIOD;
+		}
 	}
 
 	// Returns the time after which the next exchange is due.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -19,6 +19,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.PeerException;
+import org.mulberrycross.Supervisor;
 import org.mulberrycross.Transition;
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EngineProfile;
@@ -88,7 +89,7 @@
 		return thread;
 	});
 
-	private final Thread thread = new Thread(this::run, "placement");
+	private final Thread thread = Supervisor.newThread("placement", this::run);
 
 	private LeaseState leaseState = LeaseState.initial();
 
@@ -112,7 +113,6 @@
 		this.client = Objects.requireNonNull(client, "client");
 		this.clocks = Objects.requireNonNull(clocks, "clocks");
 		this.leaseTokens = Objects.requireNonNull(leaseTokens, "leaseTokens");
-		this.thread.setDaemon(true);
 	}
 
 	void start() {
@@ -120,9 +120,10 @@
 	}
 
 	private void run() {
+		Supervisor supervisor = new Supervisor("placement");
 		try {
 			while (!this.closed.await(PLANNING_PERIOD.toMillis(), TimeUnit.MILLISECONDS)) {
-				planAndOrder();
+				supervisor.run(this::planAndOrder);
 			}
 		}
 		catch (InterruptedException ex) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.PeerException;
+import org.mulberrycross.Supervisor;
 import org.mulberrycross.platform.ObjectStore;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.sibling.Sibling;
@@ -54,9 +55,11 @@
 	 */
 	private boolean settled;
 
+	private boolean registered;
+
 	private final CountDownLatch closed = new CountDownLatch(1);
 
-	private final Thread thread = new Thread(this::run, "router-census");
+	private final Thread thread = Supervisor.newThread("router-census", this::run);
 
 	// A daemon without an address for messages registers its name only.
 	RouterMembership(ObjectStore store, String name, Optional<Sibling> self, Listener listener) {
@@ -64,7 +67,6 @@
 		this.name = Objects.requireNonNull(name, "name");
 		this.self = Objects.requireNonNull(self, "self");
 		this.listener = Objects.requireNonNull(listener, "listener");
-		this.thread.setDaemon(true);
 	}
 
 	void start() {
@@ -72,16 +74,16 @@
 	}
 
 	private void run() {
-		boolean registered = false;
+		Supervisor supervisor = new Supervisor("router-census");
 		boolean first = true;
 		Duration period = STARTUP_PERIOD;
 		try {
 			do {
-				registered = listAndRegister(registered);
+				supervisor.run(() -> this.registered = listAndRegister(this.registered));
 				if (this.closed.await(period.toMillis(), TimeUnit.MILLISECONDS)) {
 					return;
 				}
-				this.settled = registered && !first;
+				this.settled = this.registered && !first;
 				period = this.settled ? COUNT_PERIOD : STARTUP_PERIOD;
 				first = false;
 			}
@@ -93,7 +95,7 @@
 	}
 
 	// Returns whether this daemon is registered.
-	boolean listAndRegister(boolean registered) {
+	boolean listAndRegister(boolean alreadyRegistered) {
 		Optional<StoredObject> ownEntry;
 		try {
 			List<StoredObject> entries = KindWatcher
@@ -105,9 +107,9 @@
 		}
 		catch (PeerException ex) {
 			logger.atInfo().addKeyValue("cause", ex.toString()).log("daemons could not be listed");
-			return registered;
+			return alreadyRegistered;
 		}
-		return registered || register(ownEntry);
+		return alreadyRegistered || register(ownEntry);
 	}
 
 	private static Optional<Sibling> decode(StoredObject entry) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SettingsReloader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SettingsReloader.java
@@ -9,6 +9,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.mulberrycross.Supervisor;
 import org.mulberrycross.router.SettingsException;
 
 /**
@@ -28,7 +29,7 @@
 
 	private final Semaphore signals = new Semaphore(0);
 
-	private final Thread thread = new Thread(this::run, "settings");
+	private final Thread thread = Supervisor.newThread("settings", this::run);
 
 	private RelaySettings current;
 
@@ -36,7 +37,6 @@
 		this.source = Objects.requireNonNull(source, "source");
 		this.current = Objects.requireNonNull(current, "current");
 		this.onChange = Objects.requireNonNull(onChange, "onChange");
-		this.thread.setDaemon(true);
 	}
 
 	void start() {
@@ -45,11 +45,12 @@
 	}
 
 	private void run() {
+		Supervisor supervisor = new Supervisor("settings");
 		try {
 			while (!Thread.currentThread().isInterrupted()) {
 				boolean signalled = this.signals.tryAcquire(RELOAD_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
 				this.signals.drainPermits();
-				reload(signalled);
+				supervisor.run(() -> reload(signalled));
 			}
 		}
 		catch (InterruptedException ex) {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -51,6 +51,8 @@
 
 	private static final String UNUSABLE = "unusable";
 
+	private static final String EXHAUSTS_HEAP = "exhausts-heap";
+
 	private static final WatchTiming TIMING = new WatchTiming(Duration.ofMillis(4000), Duration.ofDays(1),
 			Duration.ofMillis(1), Duration.ofMinutes(10));
 
@@ -192,6 +194,22 @@
 		}
 	}
 
+	/**
+	 * Pattern: an answer of the store exhausts the heap. Fails if the Error ends the
+	 * thread, after which the daemon never follows the list again.
+	 */
+	@Test
+	void listsAgainAfterError() throws Exception {
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(
+				List.of(result(6, false, EXHAUSTS_HEAP), result(7, false, "a")));
+		try (KindWatcher watcher = newWatcher(results)) {
+			watcher.start();
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			assertThat(poll(this.notifications)).isEqualTo("changed 1");
+		}
+	}
+
 	/** Fails if changes are missed after the watch history was compacted. */
 	@Test
 	void relistsAfterCompaction() throws Exception {
@@ -405,6 +423,9 @@
 			if (changes.stream().anyMatch((change) -> change.key().endsWith(UNUSABLE))) {
 				throw new IllegalArgumentException("unusable");
 			}
+			if (changes.stream().anyMatch((change) -> change.key().endsWith(EXHAUSTS_HEAP))) {
+				throw new OutOfMemoryError("thrown by the test");
+			}
 			KindWatcherTest.this.confirmations.add(asOf);
 			KindWatcherTest.this.notifications.add("changed " + changes.size());
 		}
