Read the store's answers while they arrive

The answer to its watch, 16.3 MB with all versions, was collected, made a String and then an array of characters. The heap dump at the error has two arrays of 16,344,812 bytes; the third would have 32.7 MB of a heap of 96 MB. Past 16 MiB the same watch was repeated instead.

HttpClient.read passes a body on while it arrives and pauses the connection while the reader is behind.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -28,14 +28,15 @@
 import org.mulberrycross.NotRunException;
 import org.mulberrycross.OutcomeUnknownException;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.Step;
 
 /**
  * HTTP client over Grizzly with pooled connections. Each connection carries one exchange
  * at a time. After a timeout the connection is closed and not reused, since a connection
  * can stop responding while new ones work, and so are all idle connections to the same
- * address, which may have gone silent with it. Thread-safe; {@link #send} and
- * {@link #sendAfterProbe} block, so they must not be called on a selector thread or on
- * the control thread.
+ * address, which may have gone silent with it. Thread-safe; {@link #send}, {@link #read}
+ * and {@link #sendAfterProbe} block, so they must not be called on a selector thread or
+ * on the control thread.
  */
 public final class HttpClient implements AutoCloseable {
 
@@ -114,7 +115,7 @@
 		HttpExchange exchange = new HttpExchange(listener, call.maxReplyBytes());
 		boolean reusable = false;
 		try {
-			HttpReply reply = execute(connection, call, exchange, deadlineNanos);
+			HttpReply reply = execute(connection, call, exchange, exchange.reply(), deadlineNanos);
 			reusable = !call.newConnection() && exchange.isKeepAlive();
 			return reply;
 		}
@@ -123,6 +124,44 @@
 		}
 	}
 
+	/**
+	 * Sends a request and reads the body of the response while it arrives. The head of
+	 * the response must arrive within the timeout of the call; the body may take longer,
+	 * as long as it goes on arriving.
+	 * @param <T> the type of the result
+	 * @param call the request, not null
+	 * @param reader reads the body, not null
+	 * @return the result of the reader
+	 * @throws NotRunException if no byte of the request was sent
+	 * @throws OutcomeUnknownException if the request may have been sent and no complete
+	 * response was received, or the reader did not accept that it is too long
+	 * @throws PeerException if the reader rejects the response
+	 */
+	public <T> T read(HttpCall call, ReplyReader<T> reader) throws PeerException {
+		Objects.requireNonNull(call, "call");
+		Objects.requireNonNull(reader, "reader");
+		long deadlineNanos = System.nanoTime() + call.timeout().toNanos();
+		Connection<?> connection = connect(call);
+		StreamedExchange exchange = new StreamedExchange(call.maxReplyBytes(), deadlineNanos);
+		boolean reusable = false;
+		try {
+			int status = execute(connection, call, exchange, exchange.status(), deadlineNanos);
+			T result = reader.read(status, exchange.body());
+			reusable = exchange.body().skipRest() && !call.newConnection() && exchange.isKeepAlive();
+			return result;
+		}
+		catch (IncompleteReplyException ex) {
+			closeIdleConnections(call.address().socketAddress());
+			throw outcomeUnknown(call, ex.getMessage(), ex);
+		}
+		catch (IOException ex) {
+			throw new PeerException(Step.CODEC, call.peer(), "reply cannot be read", ex);
+		}
+		finally {
+			releaseOrClose(connection, call.address().socketAddress(), reusable);
+		}
+	}
+
 	/**
 	 * Sends a probe on a new connection, and then the request on another new one once the
 	 * probe has received a response of any status. The request's connection carries
@@ -147,12 +186,13 @@
 		return send(call.withNewConnection());
 	}
 
-	private HttpReply execute(Connection<?> connection, HttpCall call, HttpExchange exchange, long deadlineNanos)
-			throws OutcomeUnknownException {
+	// Sends the request and waits for a result of its exchange.
+	private <T> T execute(Connection<?> connection, HttpCall call, Exchange exchange, Future<T> result,
+			long deadlineNanos) throws OutcomeUnknownException {
 		try {
 			HttpExchangeFilter.attach(connection, exchange);
 			connection.write(encode(call));
-			return exchange.reply().get(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+			return result.get(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
 		}
 		catch (TimeoutException ex) {
 			closeIdleConnections(call.address().socketAddress());
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchange.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.util.MimeHeaders;
@@ -15,7 +16,7 @@
  * Collects the response to one request. Response parts arrive on one selector thread; any
  * thread may wait for the complete reply.
  */
-final class HttpExchange {
+final class HttpExchange implements Exchange {
 
 	private final BodyListener listener;
 
@@ -41,7 +42,13 @@
 		return this.keepAlive;
 	}
 
-	void handleContent(HttpContent content) {
+	@Override
+	public boolean isDone() {
+		return this.reply.isDone();
+	}
+
+	@Override
+	public void handleContent(Connection<?> connection, HttpContent content) {
 		if (content.getContent() != null && content.getContent().hasRemaining()) {
 			if (this.body.size() + content.getContent().remaining() > this.maxReplyBytes) {
 				fail(new IOException("reply is longer than " + this.maxReplyBytes + " bytes"));
@@ -60,11 +67,13 @@
 		}
 	}
 
-	void fail(Throwable cause) {
+	@Override
+	public void fail(Throwable cause) {
 		this.reply.completeExceptionally(cause);
 	}
 
-	void handleClose() {
+	@Override
+	public void handleClose() {
 		this.reply.completeExceptionally(new IOException("connection closed before the end of the reply"));
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchangeFilter.java
@@ -16,10 +16,10 @@
  */
 final class HttpExchangeFilter extends BaseFilter {
 
-	private static final Attribute<HttpExchange> EXCHANGE_ATTRIBUTE = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
+	private static final Attribute<Exchange> EXCHANGE_ATTRIBUTE = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
 		.createAttribute(HttpExchangeFilter.class.getName());
 
-	static void attach(Connection<?> connection, HttpExchange exchange) {
+	static void attach(Connection<?> connection, Exchange exchange) {
 		EXCHANGE_ATTRIBUTE.set(connection, exchange);
 		// A close before the exchange was attached has not been reported to it.
 		if (!connection.isOpen()) {
@@ -32,7 +32,7 @@
 	}
 
 	static void fail(Connection<?> connection, Throwable error) {
-		HttpExchange exchange = EXCHANGE_ATTRIBUTE.get(connection);
+		Exchange exchange = EXCHANGE_ATTRIBUTE.get(connection);
 		if (exchange != null) {
 			exchange.fail(error);
 		}
@@ -41,8 +41,8 @@
 	@Override
 	public NextAction handleRead(FilterChainContext context) throws IOException {
 		HttpContent content = context.getMessage();
-		HttpExchange exchange = EXCHANGE_ATTRIBUTE.get(context.getConnection());
-		if (exchange != null && !exchange.reply().isDone()) {
+		Exchange exchange = EXCHANGE_ATTRIBUTE.get(context.getConnection());
+		if (exchange != null && !exchange.isDone()) {
 			handleContent(context.getConnection(), exchange, content);
 		}
 		else {
@@ -54,9 +54,9 @@
 		return context.getStopAction();
 	}
 
-	private static void handleContent(Connection<?> connection, HttpExchange exchange, HttpContent content) {
+	private static void handleContent(Connection<?> connection, Exchange exchange, HttpContent content) {
 		try {
-			exchange.handleContent(content);
+			exchange.handleContent(connection, content);
 		}
 		catch (RuntimeException | Error ex) {
 			// As in RelayClientFilter, a reply without this part would look complete.
@@ -67,7 +67,7 @@
 
 	@Override
 	public NextAction handleClose(FilterChainContext context) throws IOException {
-		HttpExchange exchange = EXCHANGE_ATTRIBUTE.get(context.getConnection());
+		Exchange exchange = EXCHANGE_ATTRIBUTE.get(context.getConnection());
 		if (exchange != null) {
 			exchange.handleClose();
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpReply.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpReply.java
@@ -33,7 +33,16 @@
 	 * @return true for a success
 	 */
 	public boolean isSuccess() {
-		return this.status >= FIRST_SUCCESS_STATUS && this.status < FIRST_REDIRECT_STATUS;
+		return isSuccess(this.status);
+	}
+
+	/**
+	 * Returns whether a status is a success (2xx).
+	 * @param status the HTTP status code
+	 * @return true for a success
+	 */
+	public static boolean isSuccess(int status) {
+		return status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS;
 	}
 
 	/**
--- /dev/null
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/StreamedExchange.java
@@ -0,0 +1,70 @@
+package org.mulberrycross.http;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+
+/**
+ * Passes on the response to one request as it arrives. Response parts arrive on one
+ * selector thread; another one reads the body.
+ */
+final class StreamedExchange implements Exchange {
+
+	private final CompletableFuture<Integer> status = new CompletableFuture<>();
+
+	private final ReplyBody body;
+
+	/** Whether the server leaves the connection open; set before the end of the body. */
+	private volatile boolean keepAlive;
+
+	StreamedExchange(int maxReplyBytes, long deadlineNanos) {
+		this.body = new ReplyBody(maxReplyBytes, deadlineNanos);
+	}
+
+	// Completes with the status code when the head of the response has arrived.
+	CompletableFuture<Integer> status() {
+		return this.status;
+	}
+
+	ReplyBody body() {
+		return this.body;
+	}
+
+	boolean isKeepAlive() {
+		return this.keepAlive;
+	}
+
+	@Override
+	public boolean isDone() {
+		return this.body.isDone();
+	}
+
+	@Override
+	public void handleContent(Connection<?> connection, HttpContent content) {
+		HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
+		if (content.getContent() != null && content.getContent().hasRemaining()) {
+			byte[] part = new byte[content.getContent().remaining()];
+			content.getContent().get(part);
+			this.body.add(connection, part);
+		}
+		if (content.isLast()) {
+			this.keepAlive = head.getProcessingState().isStayAlive();
+			this.body.end();
+		}
+		this.status.complete(head.getStatus());
+	}
+
+	@Override
+	public void fail(Throwable cause) {
+		this.status.completeExceptionally(cause);
+		this.body.fail(new IncompleteReplyException("connection failed: " + cause.getMessage(), cause));
+	}
+
+	@Override
+	public void handleClose() {
+		fail(new IncompleteReplyException("connection closed before the end of the reply", null));
+	}
+
+}
--- a/mulberrycross/src/test/java/org/mulberrycross/http/HttpClientTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/HttpClientTest.java
@@ -1,7 +1,11 @@
 package org.mulberrycross.http;
 
+import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +36,9 @@
 
 	private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(300);
 
+	/** Longer than the pause within a body that is accepted after the timeout. */
+	private static final long PAUSE_MILLIS = 1200;
+
 	private static final long MAX_WAIT_SECONDS = 20;
 
 	/** Fails if a reply without end fills the memory. */
@@ -50,6 +57,55 @@
 		}
 	}
 
+	/** Fails if a reply without end is read without end where it is not kept. */
+	@ParameterizedTest
+	@ValueSource(strings = { "", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n" })
+	void readerFailsReplyWithoutEnd(String start) throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				HttpClient client = new HttpClient(1)) {
+			CompletableFuture<Long> sent = CompletableFuture
+				.supplyAsync(() -> EndlessResponse.sendUntilClosed(server, start));
+			HttpCall call = HttpCall
+				.get(Step.READ_OBJECT, new Peer(Peer.Kind.PLATFORM, "store"),
+						new Address("127.0.0.1", server.getLocalPort()), "/objects/servers", CALL_TIMEOUT)
+				.withMaxReplyBytes(1 << 20);
+			assertThrows(OutcomeUnknownException.class,
+					() -> client.read(call, (status, body) -> body.transferTo(OutputStream.nullOutputStream())));
+			assertThat(sent.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS)).isLessThan(EndlessResponse.MAX_BYTES);
+		}
+	}
+
+	/**
+	 * Pattern: the store sends the head of the answer to a watch at once and the changes
+	 * when there are some. Fails if the pause before them counts as silence.
+	 */
+	@Test
+	void waitsForBodyUntilTimeoutOfCall() throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				HttpClient client = new HttpClient(1)) {
+			CompletableFuture.runAsync(() -> answerAfterPause(server));
+			HttpCall call = HttpCall.get(Step.WATCH, new Peer(Peer.Kind.PLATFORM, "store"),
+					new Address("127.0.0.1", server.getLocalPort()), "/objects/servers", ANSWER_TIMEOUT);
+			byte[] read = client.read(call, (status, body) -> body.readAllBytes());
+			assertThat(read).isEqualTo(new byte[] { '{', '}' });
+		}
+	}
+
+	private static void answerAfterPause(ServerSocket server) {
+		try (Socket socket = server.accept()) {
+			// Answers once the request has arrived.
+			socket.getInputStream().read();
+			socket.getOutputStream()
+				.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{".getBytes(StandardCharsets.UTF_8));
+			TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+			socket.getOutputStream().write('}');
+			socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	/**
 	 * Fails if the call after one without a reply takes another idle connection, which
 	 * may have gone silent at the same moment. Each such connection cost the followers of
