Log and count the request limits that upstreams name

Neither log nor metrics told whether a daemon knows of a limit. An answer's limit is now decoded, logged when it is named, changed or over, and counted in limits.upstreams; nothing acts on it yet. The record of rejections moves out of RelayControl into UpstreamRejections, unchanged, to make room.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -70,6 +70,9 @@
 
 	private volatile boolean begun;
 
+	/** Whether the upstream had a limit on requests when this attempt was sent. */
+	private boolean limited;
+
 	RelayAttempt(RelayExchange exchange, Forwarding forwarding, MessageFormat messageFormat, AttemptListener listener,
 			RequestTokens tokens, ResponseBuffers buffers) {
 		this.exchange = Objects.requireNonNull(exchange, "exchange");
@@ -155,6 +158,11 @@
 		this.expectedMillis = millis;
 	}
 
+	// Called before the request is sent.
+	void setLimited(boolean isLimited) {
+		this.limited = isLimited;
+	}
+
 	void attach(RelayCall startedCall) {
 		this.call = startedCall;
 	}
@@ -212,7 +220,8 @@
 		boolean requestIdMatches = this.upstreamHead.requestId()
 			.map((id) -> id.equals(this.exchange.call().id()))
 			.orElse(true);
-		if (this.upstreamHead.leaving() || this.upstreamHead.rest().isPresent()) {
+		if (this.upstreamHead.leaving() || this.upstreamHead.rest().isPresent()
+				|| (requestIdMatches && isLimitNews(this.upstreamHead))) {
 			this.listener.onNotice(this, this.upstreamHead, System.nanoTime());
 		}
 		if (!requestIdMatches || this.upstreamHead.compressed()
@@ -225,6 +234,10 @@
 		}
 	}
 
+	private boolean isLimitNews(UpstreamResponseHead received) {
+		return received.limit().isPresent() || (this.limited && received.unlimited());
+	}
+
 	@Override
 	public void onData(byte[] part) {
 		if (this.closed) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -13,7 +13,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import org.mulberrycross.Address;
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.caller.ClientCall;
@@ -41,12 +40,6 @@
 	 */
 	static final Duration CHECK_PERIOD = Duration.ofMillis(25);
 
-	/**
-	 * A rejection within this time means that the engine is saturated; a dead engine is
-	 * reported only after a longer silence.
-	 */
-	private static final Duration MAX_SATURATION_REPLY_TIME = Duration.ofMillis(700);
-
 	/** Minimum time before the deadline for an attempt to be worth sending. */
 	private static final Duration MIN_REMAINING_TIME = Duration.ofMillis(30);
 
@@ -69,6 +62,8 @@
 
 	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
 
+	private final UpstreamLimits limits;
+
 	private final ResponseBuffers responseBuffers = new ResponseBuffers();
 
 	private final RequestAdmission admission;
@@ -79,6 +74,8 @@
 
 	private final RequestLog requestLog;
 
+	private final UpstreamRejections rejections;
+
 	private final InFlightRequests inFlight;
 
 	private final EarlyMoves earlyMoves;
@@ -105,6 +102,7 @@
 		Objects.requireNonNull(engineProber, "engineProber");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.admission = new RequestAdmission(settings, clock);
+		this.limits = new UpstreamLimits(metrics);
 		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
 				this.fleetLoad);
 		this.expectedCost = settings.features().expectedCost();
@@ -112,6 +110,7 @@
 		this.selector.reload(settings.features().waiting());
 		this.retryPolicy = new RetryPolicy(settings, DEFAULT_DAEMON_COUNT, this::isSuspected, clock);
 		this.requestLog = new RequestLog(logger, clock);
+		this.rejections = new UpstreamRejections(this.directory, this.selector, this.health, this.requestLog);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock, this::handleSentEnded);
 		this.earlyMoves = new EarlyMoves(settings, this.inFlight, this.selector, this.health,
 				(service) -> configuration().map((present) -> present.profilesByService().get(service)),
@@ -328,6 +327,7 @@
 				this.directory.markLeaving(attempt.forwarding().upstream());
 			}
 			upstreamHead.rest().ifPresent((rest) -> this.health.recordRest(id, rest, receivedNanos));
+			this.limits.record(attempt.forwarding().upstream(), upstreamHead);
 		});
 	}
 
@@ -369,7 +369,7 @@
 			this.selector.releaseLoad(attempt);
 			if (upstreamHead.notExecuted()) {
 				exchange.addExecutions(-1);
-				recordRejection(attempt, upstreamHead, reason);
+				this.rejections.record(attempt, upstreamHead, reason, this.clock.nanos());
 				retryOrElse(exchange, reason,
 						() -> this.inFlight.fail(exchange, reason, retryAfterRejection(exchange)));
 				return;
@@ -393,35 +393,6 @@
 			.orElseGet(() -> this.waiting.retryAfterRejection(exchange));
 	}
 
-	// Ejects the engine that caused the rejection, or the upstream if no engine is named.
-	// An engine that was sent layers that it does not hold is not merely saturated: its
-	// entry is outdated until it publishes a new one.
-	private void recordRejection(RelayAttempt attempt, UpstreamResponseHead upstreamHead, String reason) {
-		long nowNanos = this.clock.nanos();
-		String id = upstreamHead.faultyEngine()
-			.flatMap((address) -> findFaultyEngine(attempt, address))
-			.orElse(attempt.forwarding().upstream().id());
-		attempt.exchange().failedUpstreams().add(id);
-		this.requestLog.logRejected(attempt.exchange(), id, reason);
-		if (attempt.forwarding().path().isPresent() && !upstreamHead.misdirected()
-				&& nowNanos - attempt.startedNanos() < MAX_SATURATION_REPLY_TIME.toNanos()) {
-			this.selector.recordNoRoom(attempt, id, nowNanos);
-			return;
-		}
-		this.health.recordFailure(id, reason, nowNanos);
-	}
-
-	// Returns the engine of the attempt's path at an address. The directory may already
-	// list the next instance there.
-	private Optional<String> findFaultyEngine(RelayAttempt attempt, Address address) {
-		return attempt.forwarding()
-			.path()
-			.flatMap((path) -> path.engineAt(address))
-			.map(EngineInstance::id)
-			.or(() -> this.directory.findByAddress(attempt.forwarding().upstream().service(), address)
-				.map((entry) -> entry.instance().id()));
-	}
-
 	@Override
 	public void onAttemptFailed(RelayAttempt attempt, String reason) {
 		this.controlThread.post(() -> {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
@@ -32,10 +32,13 @@
 
 	private final DefaultSettableGauge<Long> fleetLoadAgeMillis = new DefaultSettableGauge<>(0L);
 
+	private final DefaultSettableGauge<Integer> limitedUpstreams = new DefaultSettableGauge<>(0);
+
 	RelayMetrics(MetricRegistry registry) {
 		this.registry = registry;
 		registry.register("fleet_load.daemons_covered", this.daemonsCovered);
 		registry.register("fleet_load.age_ms", this.fleetLoadAgeMillis);
+		registry.register("limits.upstreams", this.limitedUpstreams);
 	}
 
 	// Records the number of daemons whose load is known, including this one, and the age
@@ -45,6 +48,11 @@
 		this.fleetLoadAgeMillis.setValue(age.toMillis());
 	}
 
+	// Records the number of upstreams that limit their requests.
+	void updateLimitedUpstreams(int count) {
+		this.limitedUpstreams.setValue(count);
+	}
+
 	// Counts a request that was refused because the queue of the control thread was full.
 	void countRefused() {
 		this.registry.counter("requests.refused").inc();
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/SignedFormat.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/SignedFormat.java
@@ -24,7 +24,7 @@
 	@Override
 	public UpstreamResponseHead decodeResponseHead(ResponseHead head) {
 		return new UpstreamResponseHead(Optional.empty(), true, false, false, Optional.empty(), false, false,
-				Optional.empty());
+				Optional.empty(), Optional.empty(), true);
 	}
 
 }
