Let limit shares depend on how many daemons report to an owner

Only concurrency limits of teams could be shared, whose slots do not depend on who reports. ShareLimits now gets the number of other borrowers, and with ShareTiming idle borrowers may keep reporting. The borrower's state moves out of LimitShares into BorrowedShare, and running blocking calls out of SiblingExchanges into SiblingCalls, both unchanged for teams.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/SiblingExchanges.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/SiblingExchanges.java
@@ -6,13 +6,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
@@ -23,7 +18,6 @@
 import org.mulberrycross.Address;
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
-import org.mulberrycross.PeerException;
 import org.mulberrycross.caller.TeamLimits;
 import org.mulberrycross.operator.TeamObject;
 import org.mulberrycross.platform.ConfigurationFollower;
@@ -39,6 +33,7 @@
 import org.mulberrycross.sibling.Membership;
 import org.mulberrycross.sibling.ShareReply;
 import org.mulberrycross.sibling.ShareRequest;
+import org.mulberrycross.sibling.SiblingCalls;
 import org.mulberrycross.sibling.SiblingClient;
 import org.mulberrycross.sibling.http.SiblingCodec;
 
@@ -82,7 +77,7 @@
 
 	private final List<Address> seeds;
 
-	private final ExecutorService executor;
+	private final SiblingCalls calls;
 
 	private final Membership membership;
 
@@ -147,8 +142,7 @@
 		this.client = Objects.requireNonNull(client, "client");
 		this.instanceList = Objects.requireNonNull(instanceList, "instanceList");
 		this.seeds = List.copyOf(seeds);
-		this.executor = new ThreadPoolExecutor(EXCHANGE_THREADS, EXCHANGE_THREADS, 0, TimeUnit.SECONDS,
-				new LinkedBlockingQueue<>(MAX_QUEUED_EXCHANGES));
+		this.calls = new SiblingCalls(controlThread, EXCHANGE_THREADS, MAX_QUEUED_EXCHANGES);
 		this.membership = new Membership(self, random);
 		this.membership.updateSeeds(this.seeds);
 		this.siblingConfigurations = new SiblingConfigurations(client, follower, random);
@@ -239,22 +233,23 @@
 			.highestLeavingIncarnations()
 			.forEach((upstream, incarnation) -> this.gossip.recordLeaving(new LeavingNotice(upstream, incarnation)));
 		this.gossip.tick(nanos)
-			.ifPresent(
-					(exchange) -> startExchange(() -> this.client.exchangeDigests(exchange.target(), exchange.digest()),
-							(reply) -> handleGossipEvents(this.gossip.merge(reply, this.clock.nanos())),
-							() -> this.gossip.recordFailure(exchange, this.clock.nanos())));
+			.ifPresent((exchange) -> this.calls.start(
+					() -> this.client.exchangeDigests(exchange.target(), exchange.digest()),
+					(reply) -> handleGossipEvents(this.gossip.merge(reply, this.clock.nanos())),
+					() -> this.gossip.recordFailure(exchange, this.clock.nanos())));
 		if (!this.listReadInFlight && nanos - this.nextListReadNanos >= 0) {
 			this.listReadInFlight = true;
-			startExchange(this.instanceList::read, this::applyInstanceList, this::handleListFailure);
+			this.calls.start(this.instanceList::read, this::applyInstanceList, this::handleListFailure);
 		}
 	}
 
 	private void shareTick() {
 		for (LimitShares.Exchange exchange : this.shares.tick(this.clock.nanos())) {
-			startExchange(() -> this.client.requestShares(exchange.owner().address(), exchange.request()), (reply) -> {
-				this.shares.applyReply(exchange, reply, this.clock.nanos());
-				this.control.tick();
-			}, () -> this.shares.recordFailure(exchange, this.clock.nanos()));
+			this.calls.start(() -> this.client.requestShares(exchange.owner().address(), exchange.request()),
+					(reply) -> {
+						this.shares.applyReply(exchange, reply, this.clock.nanos());
+						this.control.tick();
+					}, () -> this.shares.recordFailure(exchange, this.clock.nanos()));
 		}
 	}
 
@@ -275,10 +270,7 @@
 	}
 
 	private void followSibling(Member sibling) {
-		try {
-			this.executor.execute(() -> this.siblingConfigurations.applyConfiguration(sibling));
-		}
-		catch (RejectedExecutionException ex) {
+		if (!this.calls.execute(() -> this.siblingConfigurations.applyConfiguration(sibling))) {
 			logger.debug("configuration of sibling {} is not read: the exchange queue is full", sibling.name());
 		}
 	}
@@ -332,34 +324,9 @@
 		this.nextListReadNanos = this.clock.nanos() + Math.max(MIN_LIST_PERIOD.toNanos(), period.toNanos());
 	}
 
-	private <T> void startExchange(PeerCall<T> call, Consumer<T> onReply, Runnable onFailure) {
-		try {
-			this.executor.execute(() -> {
-				try {
-					T reply = call.call();
-					this.controlThread.post(() -> onReply.accept(reply));
-				}
-				catch (PeerException ex) {
-					logger.debug("exchange failed: {}", ex.toString());
-					this.controlThread.post(onFailure);
-				}
-			});
-		}
-		catch (RejectedExecutionException ex) {
-			onFailure.run();
-		}
-	}
-
 	@Override
 	public void close() {
-		this.executor.shutdownNow();
-	}
-
-	@FunctionalInterface
-	private interface PeerCall<T> {
-
-		T call() throws PeerException;
-
+		this.calls.close();
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/LimitShares.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/LimitShares.java
@@ -53,32 +53,18 @@
 	 */
 	public static final Duration LEASE = Duration.ofSeconds(5);
 
-	/**
-	 * Time without a running request or an attempt to acquire a slot after which a share
-	 * is returned to the owner.
-	 */
-	private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(1);
-
-	/**
-	 * Minimum time between two requests for a larger share of one team's limit.
-	 */
-	private static final Duration MIN_REQUEST_INTERVAL = Duration.ofMillis(200);
-
 	/**
 	 * Time after which an exchange without a reply counts as failed.
 	 */
 	private static final Duration EXCHANGE_TIMEOUT = Duration.ofSeconds(2);
 
-	/**
-	 * Maximum number of teams in one request, at about 50 bytes each.
-	 */
-	private static final int MAX_ITEMS_PER_REQUEST = 200;
-
 	private final Membership membership;
 
 	private final ShareOwner owner;
 
-	private final Map<String, TeamShare> shares = new TreeMap<>();
+	private final ShareTiming timing;
+
+	private final Map<String, BorrowedShare> shares = new TreeMap<>();
 
 	private final Map<String, Exchange> pending = new HashMap<>();
 
@@ -96,8 +82,21 @@
 	 * @param nanos the time on the daemon's monotonic clock
 	 */
 	public LimitShares(Membership membership, ToIntFunction<String> limits, long nanos) {
+		this(membership, (team, borrowers) -> limits.applyAsInt(team), ShareTiming.DEFAULT, nanos);
+	}
+
+	/**
+	 * Creates an object without active limits. If the borrowers report while they are
+	 * idle, the owner counts them for one lease time after each report.
+	 * @param membership the known daemons, not null
+	 * @param limits returns the slots of a limit, not null
+	 * @param timing how often borrowers report, not null
+	 * @param nanos the time on the daemon's monotonic clock
+	 */
+	public LimitShares(Membership membership, ShareLimits limits, ShareTiming timing, long nanos) {
+		this.timing = Objects.requireNonNull(timing, "timing");
 		this.membership = Objects.requireNonNull(membership, "membership");
-		this.owner = new ShareOwner(membership.self().name(), limits, LEASE.toNanos(), nanos);
+		this.owner = new ShareOwner(membership.self().name(), limits, timing.reportsIdle(), LEASE.toNanos(), nanos);
 		this.owner.updateView(membership.aliveNames(), nanos);
 		this.viewNumber = membership.viewNumber();
 		this.lastTickNanos = nanos;
@@ -112,22 +111,70 @@
 	 * share of the limit
 	 */
 	public boolean tryAcquire(String team, int maxConcurrent, long nanos) {
-		TeamShare share = this.shares.computeIfAbsent(team, (name) -> new TeamShare());
-		if (share.running >= Math.min(share.validAmount(nanos), maxConcurrent)) {
-			share.unmetDemand++;
-			share.lastUsedNanos = nanos;
-			renewIfSelfOwned(team, share, maxConcurrent, nanos);
+		if (!hasFreeSlot(team, maxConcurrent, nanos)) {
+			recordUnmetDemand(team, maxConcurrent, nanos);
 		}
-		if (share.running >= Math.min(share.validAmount(nanos), maxConcurrent)) {
+		if (!hasFreeSlot(team, maxConcurrent, nanos)) {
 			return false;
 		}
-		share.running++;
-		share.peakRunning = Math.max(share.peakRunning, share.running);
-		share.unmetDemand = 0;
-		share.lastUsedNanos = nanos;
+		this.shares.get(team).acquire(nanos);
 		return true;
 	}
 
+	/**
+	 * Returns whether this daemon's share has a free slot.
+	 * @param team the name of the team, not null
+	 * @param maxConcurrent the limit of the team over all daemons
+	 * @param nanos the time on the daemon's monotonic clock
+	 * @return true if {@link #tryAcquire} would succeed without a larger share
+	 */
+	public boolean hasFreeSlot(String team, int maxConcurrent, long nanos) {
+		return Optional.ofNullable(this.shares.get(team))
+			.map((share) -> share.hasFreeSlot(maxConcurrent, nanos))
+			.orElse(false);
+	}
+
+	/**
+	 * Records that a request could use a slot beyond this daemon's share, which
+	 * {@link #tick} then requests.
+	 * @param team the name of the team, not null
+	 * @param maxConcurrent the limit of the team over all daemons
+	 * @param nanos the time on the daemon's monotonic clock
+	 */
+	public void recordUnmetDemand(String team, int maxConcurrent, long nanos) {
+		BorrowedShare share = this.shares.computeIfAbsent(team, (name) -> new BorrowedShare(this.timing));
+		share.recordUnmetDemand(nanos);
+		renewIfSelfOwned(team, share, maxConcurrent, nanos);
+	}
+
+	/**
+	 * Starts to report to the owner of a limit, also without demand, if idle borrowers
+	 * report.
+	 * @param team the name of the team, not null
+	 */
+	public void open(String team) {
+		this.shares.computeIfAbsent(team, (name) -> new BorrowedShare(this.timing)).open();
+	}
+
+	/**
+	 * Returns the share of a limit that is over. Nothing is reported for it any more once
+	 * its slots are released.
+	 * @param team the name of the team, not null
+	 */
+	public void close(String team) {
+		Optional.ofNullable(this.shares.get(team)).ifPresent(BorrowedShare::close);
+	}
+
+	/**
+	 * Returns whether an owner may count this daemon as a borrower of a limit.
+	 * @param team the name of the team, not null
+	 * @param nanos the time on the daemon's monotonic clock
+	 * @return true until one lease time after its last reply
+	 */
+	public boolean isReported(String team, long nanos) {
+		return Optional.ofNullable(this.shares.get(team)).map((share) -> share.isReported(nanos)).orElse(false);
+	}
+
 	/**
 	 * Releases the slot of a request that ended.
 	 * @param team the name of the team, not null
@@ -135,12 +182,11 @@
 	 * @throws IllegalStateException if the team has no running request
 	 */
 	public void release(String team, long nanos) {
-		TeamShare share = this.shares.get(team);
-		if (share == null || share.running == 0) {
+		BorrowedShare share = this.shares.get(team);
+		if (share == null || share.running() == 0) {
 			throw new IllegalStateException("team " + team + " has no running request");
 		}
-		share.running--;
-		share.lastUsedNanos = nanos;
+		share.release(nanos);
 	}
 
 	/**
@@ -173,14 +219,14 @@
 			String ownerName = ownerOf(team, share);
 			if (urgentOwners.contains(ownerName) && share.isRequestDue(nanos)) {
 				List<ShareRequest.Item> items = itemsByOwner.computeIfAbsent(ownerName, (key) -> new ArrayList<>());
-				if (items.size() < MAX_ITEMS_PER_REQUEST) {
+				if (items.size() < ShareRequest.MAX_ITEMS) {
 					items.add(share.toItem(team, nanos));
 				}
 			}
 		});
 		List<Exchange> exchanges = new ArrayList<>();
 		itemsByOwner.forEach((ownerName, items) -> startExchange(ownerName, items, nanos).ifPresent(exchanges::add));
-		this.shares.values().removeIf((share) -> share.isIdle(nanos) && share.validAmount(nanos) == 0);
+		this.shares.values().removeIf((share) -> share.isRemovable(nanos));
 		return exchanges;
 	}
 
@@ -221,10 +267,12 @@
 		Set<String> requestedTeams = new HashSet<>();
 		exchange.request().items().forEach((item) -> requestedTeams.add(item.team()));
 		for (ShareReply.Grant grant : reply.grants()) {
-			TeamShare share = this.shares.get(grant.team());
+			BorrowedShare share = this.shares.get(grant.team());
 			if (share != null && requestedTeams.contains(grant.team())) {
-				share.amount = grant.amount();
-				share.leaseEndNanos = exchange.sentNanos() + Duration.ofMillis(reply.leaseMillis()).toNanos();
+				long leaseNanos = Duration.ofMillis(reply.leaseMillis()).toNanos();
+				boolean counted = grant.amount() > 0 || !exchange.owner().name().equals(this.membership.self().name());
+				share.applyGrant(grant.amount(), exchange.sentNanos() + leaseNanos,
+						counted ? nanos + ShareOwner.withClockMargin(leaseNanos) : nanos);
 			}
 		}
 	}
@@ -264,16 +312,15 @@
 		if (this.viewNumber != this.membership.viewNumber()) {
 			this.viewNumber = this.membership.viewNumber();
 			this.owner.updateView(this.membership.aliveNames(), nanos);
-			this.shares.values().forEach((share) -> share.ownerViewNumber = -1);
 		}
 	}
 
-	private String ownerOf(String team, TeamShare share) {
-		if (share.ownerViewNumber != this.viewNumber) {
-			share.owner = Rendezvous.owner(team, this.membership.aliveNames()).orElse(this.membership.self().name());
-			share.ownerViewNumber = this.viewNumber;
+	private String ownerOf(String team, BorrowedShare share) {
+		if (!share.hasOwnerOf(this.viewNumber)) {
+			share.setOwner(Rendezvous.owner(team, this.membership.aliveNames()).orElse(this.membership.self().name()),
+					this.viewNumber);
 		}
-		return share.owner;
+		return share.owner();
 	}
 
 	private Optional<Exchange> startExchange(String ownerName, List<ShareRequest.Item> items, long nanos) {
@@ -283,14 +330,7 @@
 		}
 		ShareRequest request = new ShareRequest(Digest.PROTOCOL, this.membership.self(), ++this.sequence, items);
 		for (ShareRequest.Item item : items) {
-			TeamShare share = this.shares.get(item.team());
-			// Slots that are not wanted are given up now, before the owner receives the
-			// request and can grant them to another daemon.
-			share.amount = item.held();
-			share.requestSent = true;
-			share.lastRequestNanos = nanos;
-			share.peakRunning = share.running;
-			share.unmetDemand = 0;
+			this.shares.get(item.team()).recordRequest(item, nanos);
 		}
 		Exchange exchange = new Exchange(target.get(), request, nanos);
 		this.pending.put(ownerName, exchange);
@@ -301,10 +341,10 @@
 		return Optional.of(exchange);
 	}
 
-	private void renewIfSelfOwned(String team, TeamShare share, int maxConcurrent, long nanos) {
+	private void renewIfSelfOwned(String team, BorrowedShare share, int maxConcurrent, long nanos) {
 		updateView(nanos);
-		if (share.running < maxConcurrent && ownerOf(team, share).equals(this.membership.self().name())) {
-			startExchange(share.owner, List.of(share.toItem(team, nanos)), nanos);
+		if (share.running() < maxConcurrent && ownerOf(team, share).equals(this.membership.self().name())) {
+			startExchange(share.owner(), List.of(share.toItem(team, nanos)), nanos);
 		}
 	}
 
@@ -320,63 +360,4 @@
 
 	}
 
-	private static final class TeamShare {
-
-		private int amount;
-
-		private long leaseEndNanos;
-
-		private int running;
-
-		private int peakRunning;
-
-		/**
-		 * Number of failed attempts to acquire a slot since the last admitted request or
-		 * the last share request, whichever is later.
-		 */
-		private int unmetDemand;
-
-		private long lastUsedNanos;
-
-		private boolean requestSent;
-
-		private long lastRequestNanos;
-
-		private String owner = "";
-
-		private long ownerViewNumber = -1;
-
-		private int validAmount(long nanos) {
-			return (this.leaseEndNanos - nanos > 0) ? this.amount : 0;
-		}
-
-		private boolean isIdle(long nanos) {
-			return this.running == 0 && nanos - this.lastUsedNanos >= IDLE_TIMEOUT.toNanos();
-		}
-
-		private boolean isRequestUrgent(long nanos) {
-			int wanted = wantedAmount(nanos);
-			int valid = validAmount(nanos);
-			boolean needsMore = wanted > valid && nanos - this.lastRequestNanos >= MIN_REQUEST_INTERVAL.toNanos();
-			boolean needsRenewal = wanted > 0 && nanos - this.lastRequestNanos >= LEASE.toNanos() / 2;
-			boolean hasUnusedShare = wanted == 0 && valid > 0;
-			return !this.requestSent || needsMore || needsRenewal || hasUnusedShare;
-		}
-
-		private boolean isRequestDue(long nanos) {
-			return isRequestUrgent(nanos)
-					|| (wantedAmount(nanos) > 0 && nanos - this.lastRequestNanos >= LEASE.toNanos() / 4);
-		}
-
-		private ShareRequest.Item toItem(String team, long nanos) {
-			int wanted = wantedAmount(nanos);
-			return new ShareRequest.Item(team, Math.min(validAmount(nanos), wanted), this.running, wanted);
-		}
-
-		private int wantedAmount(long nanos) {
-			return isIdle(nanos) ? 0 : Math.max(1, Math.max(this.peakRunning, this.running + this.unmetDemand));
-		}
-
-	}
-
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/ShareOwner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/ShareOwner.java
@@ -5,10 +5,11 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
-import java.util.function.ToIntFunction;
+import java.util.Set;
 
 /**
  * Leases shares of the limits of the teams that this daemon owns to the borrowing
@@ -25,7 +26,9 @@
 
 	private final String selfName;
 
-	private final ToIntFunction<String> limits;
+	private final ShareLimits limits;
+
+	private final boolean countsIdleBorrowers;
 
 	private final long leaseWithMarginNanos;
 
@@ -36,13 +39,19 @@
 
 	private long startNanos;
 
-	ShareOwner(String selfName, ToIntFunction<String> limits, long leaseNanos, long nanos) {
+	ShareOwner(String selfName, ShareLimits limits, boolean countsIdleBorrowers, long leaseNanos, long nanos) {
 		this.selfName = selfName;
 		this.limits = limits;
-		this.leaseWithMarginNanos = leaseNanos + leaseNanos / CLOCK_MARGIN_DIVISOR;
+		this.countsIdleBorrowers = countsIdleBorrowers;
+		this.leaseWithMarginNanos = withClockMargin(leaseNanos);
 		this.startNanos = nanos;
 	}
 
+	// Returns the lease time as the owner counts it.
+	static long withClockMargin(long leaseNanos) {
+		return leaseNanos + leaseNanos / CLOCK_MARGIN_DIVISOR;
+	}
+
 	/**
 	 * Starts a new view of the live daemons and removes the state of teams that this
 	 * daemon no longer owns.
@@ -111,7 +120,7 @@
 			return OptionalInt.empty();
 		}
 		team.borrowers.remove(sender.name());
-		int limit = Math.max(0, this.limits.applyAsInt(item.team()));
+		int limit = Math.max(0, this.limits.slots(item.team(), otherBorrowers(team, sender)));
 		int available = Math.max(0, limit - team.reservedTotal());
 		long servedNanos = (previous != null) ? previous.lastServedNanos : nanos;
 		boolean inGracePeriod = nanos - team.graceEndNanos < 0;
@@ -122,7 +131,7 @@
 		// The borrower uses what it holds until the reply arrives, which may be lost.
 		int stillHeld = Math.min(item.held(), previouslyReserved);
 		int reserved = Math.max(amount, stillHeld);
-		if (reserved > 0 || item.wanted() > 0) {
+		if (reserved > 0 || item.wanted() > 0 || this.countsIdleBorrowers) {
 			team.borrowers.put(sender.name(), new Borrower(sender.incarnation(), sequence, reserved, item.wanted(),
 					(amount > 0) ? nanos : servedNanos, nanos + this.leaseWithMarginNanos));
 		}
@@ -133,6 +142,13 @@
 		return OptionalInt.of(amount);
 	}
 
+	private int otherBorrowers(TeamLeases team, Member sender) {
+		Set<String> names = new HashSet<>(team.borrowers.keySet());
+		names.add(sender.name());
+		names.remove(this.selfName);
+		return names.size();
+	}
+
 	// Returns the max-min fair share of a borrower, but at least the part of its held
 	// share that running requests use. The remainder of an uneven division goes to the
 	// borrowers that were served least recently.
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/ShareRequest.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/ShareRequest.java
@@ -13,6 +13,9 @@
  */
 public record ShareRequest(int protocol, Member sender, long sequence, List<Item> items) {
 
+	/** Maximum number of items in one request, at about 50 bytes each. */
+	public static final int MAX_ITEMS = 200;
+
 	/**
 	 * Creates a request. A null list is replaced by an empty one, since siblings with
 	 * another version may omit a field.
