Keep the request limits of upstreams across all daemons

Callers saw: nothing; an engine in need got more than it had asked for.

Cause: no daemon acted on the limit. Keeping it in each daemon alone would let the sum exceed it as many times as there are daemons.

A limit becomes slots that a request occupies for a window, and LimitShares leases them. The owner leases out the parts of the daemons that report to it; a daemon that reports to none uses its part itself. So the sum is bounded whatever partition, silence or number of owners there is. Requests go to upstreams with room first; else they are refused at once as not run, with the time of the next slot.

The constructor of UpstreamSelector changed, and with it two tests; tellsEarliestEndOfRest checks the same times on EligibleUpstreams, which holds that code now.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -163,6 +163,8 @@
 				this.configurationWatcher::awaitStoreAvailable, this.clock,
 				new SplittableRandom(secureRandom.nextLong()));
 		storeSharing.serve();
+		this.siblingNetwork
+			.ifPresent((network) -> network.shareLimits(this.controlThread, this.relayControl.limits(), this.clock));
 		this.loadExchange = this.siblingNetwork.filter((network) -> settings.features().siblings().shareLoad())
 			.map((network) -> network.createLoadExchange(this.controlThread, this.relayControl, relayMetrics,
 					this.clock));
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -64,6 +64,8 @@
 
 	private final UpstreamLimits limits;
 
+	private final EligibleUpstreams eligible;
+
 	private final ResponseBuffers responseBuffers = new ResponseBuffers();
 
 	private final RequestAdmission admission;
@@ -102,9 +104,10 @@
 		Objects.requireNonNull(engineProber, "engineProber");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.admission = new RequestAdmission(settings, clock);
-		this.limits = new UpstreamLimits(metrics);
-		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
-				this.fleetLoad);
+		this.limits = new UpstreamLimits(DEFAULT_DAEMON_COUNT, metrics, random);
+		this.eligible = new EligibleUpstreams(this.directory, this.health, this.limits);
+		this.selector = new UpstreamSelector(this.directory, this.eligible, this.health, this.slowdowns,
+				settings.dataCentre(), random, this.fleetLoad);
 		this.expectedCost = settings.features().expectedCost();
 		this.selector.useExpectedCost(this.expectedCost);
 		this.selector.reload(settings.features().waiting());
@@ -152,6 +155,11 @@
 		return this.selector.ownWork();
 	}
 
+	// Returns the limits of upstreams, which are confined to the control thread.
+	UpstreamLimits limits() {
+		return this.limits;
+	}
+
 	FleetLoad fleetLoad() {
 		this.controlThread.assertOnControlThread();
 		return this.fleetLoad;
@@ -195,6 +203,7 @@
 		this.admission.updateDaemonCount(count);
 		this.retryPolicy.updateDaemonCount(Math.max(1, count));
 		this.selector.updateDaemonCount(Math.max(1, count));
+		this.limits.updateDaemonCount(count);
 	}
 
 	void markDirectoryListed() {
@@ -282,9 +291,16 @@
 		if (dispatch(exchange)) {
 			return true;
 		}
-		Optional<Duration> untilRestEnds = this.selector.untilRestEnds(exchange.rule(), nowNanos);
-		untilRestEnds.ifPresent((rest) -> this.inFlight.fail(exchange, "all upstreams asked for a rest", rest));
-		return untilRestEnds.isPresent();
+		Optional<EligibleUpstreams.Unavailability> unavailability = this.eligible.unavailability(exchange, nowNanos);
+		unavailability
+			.ifPresent((found) -> this.inFlight.fail(exchange, found.reason(), retryAfter(exchange, found, nowNanos)));
+		return unavailability.isPresent();
+	}
+
+	// Returns when a client may come back whose request no upstream takes now.
+	private Duration retryAfter(RelayExchange exchange, EligibleUpstreams.Unavailability found, long nowNanos) {
+		return found.isLimit() ? this.limits.bookReturn(found.remaining(), exchange.remainingTime(nowNanos), nowNanos)
+				: found.remaining();
 	}
 
 	// Sends the request to the best upstream. Returns false if no upstream is eligible or
@@ -300,6 +316,7 @@
 		}
 		Optional<Forwarding> forwarding = this.selector.select(exchange, remaining, nowNanos)
 			.map((chosen) -> this.waiting.withRank(chosen, exchange));
+		this.limits.recordDemand(exchange.rule(), nowNanos);
 		if (forwarding.isEmpty()) {
 			return false;
 		}
@@ -313,6 +330,7 @@
 		exchange.addExecutions(1);
 		attempt.setExpectedMillis(this.selector.expectedMillis(attempt, nowNanos));
 		this.selector.recordSent(attempt);
+		attempt.setLimited(this.limits.recordSent(forwarding.get().upstream(), nowNanos));
 		this.requestLog.logSent(exchange, attempt);
 		attempt.attach(this.client.send(forwarding.get().upstream().address(),
 				this.messageFormat.encodeRequest(exchange.request(), forwarding.get()), attempt));
@@ -327,7 +345,7 @@
 				this.directory.markLeaving(attempt.forwarding().upstream());
 			}
 			upstreamHead.rest().ifPresent((rest) -> this.health.recordRest(id, rest, receivedNanos));
-			this.limits.record(attempt.forwarding().upstream(), upstreamHead);
+			this.limits.record(attempt.forwarding().upstream(), upstreamHead, receivedNanos);
 		});
 	}
 
@@ -389,7 +407,9 @@
 
 	// Returns when a client may come back after its request was rejected by an upstream.
 	private Duration retryAfterRejection(RelayExchange exchange) {
-		return this.selector.untilRestEnds(exchange.rule(), this.clock.nanos())
+		long nowNanos = this.clock.nanos();
+		return this.eligible.unavailability(exchange, nowNanos)
+			.map((found) -> retryAfter(exchange, found, nowNanos))
 			.orElseGet(() -> this.waiting.retryAfterRejection(exchange));
 	}
 
@@ -484,6 +504,7 @@
 	void runPeriodicChecks() {
 		long nowNanos = this.clock.nanos();
 		this.directory.removeExpired(nowNanos);
+		this.limits.check((id) -> this.directory.find(id).isPresent(), nowNanos);
 		this.admission.updateReadiness();
 		this.admission.takeHeld().forEach(this::admitOrWait);
 		try {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayMetrics.java
@@ -34,11 +34,14 @@
 
 	private final DefaultSettableGauge<Integer> limitedUpstreams = new DefaultSettableGauge<>(0);
 
+	private final DefaultSettableGauge<Integer> limitSlots = new DefaultSettableGauge<>(0);
+
 	RelayMetrics(MetricRegistry registry) {
 		this.registry = registry;
 		registry.register("fleet_load.daemons_covered", this.daemonsCovered);
 		registry.register("fleet_load.age_ms", this.fleetLoadAgeMillis);
 		registry.register("limits.upstreams", this.limitedUpstreams);
+		registry.register("limits.slots_held", this.limitSlots);
 	}
 
 	// Records the number of daemons whose load is known, including this one, and the age
@@ -53,6 +56,16 @@
 		this.limitedUpstreams.setValue(count);
 	}
 
+	// Records the number of slots that this daemon holds of all limits together.
+	void updateLimitSlots(int held) {
+		this.limitSlots.setValue(held);
+	}
+
+	// Counts a request that was refused because all its upstreams are at their limits.
+	void countLimitRefusal() {
+		this.registry.counter("limits.refused").inc();
+	}
+
 	// Counts a request that was refused because the queue of the control thread was full.
 	void countRefused() {
 		this.registry.counter("requests.refused").inc();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
@@ -1,18 +1,26 @@
 package org.mulberrycross.router.relay;
 
 import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 import org.mulberrycross.Address;
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.sibling.Sibling;
+import org.mulberrycross.sibling.SiblingCalls;
+import org.mulberrycross.sibling.SiblingClient;
 import org.mulberrycross.sibling.SiblingDirectory;
 import org.mulberrycross.sibling.WorkLedger;
+import org.mulberrycross.sibling.http.HttpSiblingClient;
 import org.mulberrycross.sibling.http.HttpWorkClient;
+import org.mulberrycross.sibling.http.SharesHandler;
 import org.mulberrycross.sibling.http.SiblingServer;
 import org.mulberrycross.sibling.http.WorkHandler;
 
@@ -22,12 +30,28 @@
  */
 final class SiblingNetwork implements AutoCloseable {
 
+	private static final Duration LIMIT_CALL_TIMEOUT = Duration.ofMillis(400);
+
+	private static final int LIMIT_CALL_THREADS = 3;
+
+	private static final int MAX_QUEUED_LIMIT_CALLS = 64;
+
 	private final SiblingDirectory directory;
 
 	private final SiblingServer server;
 
 	private final HttpClient client;
 
+	/** The calls that share limits, empty until they are shared. */
+	private Optional<SiblingCalls> limitCalls = Optional.empty();
+
+	private Runnable sharingStarter = () -> {
+	};
+
+	/** Told of the listed daemons. Set before the first list is read. */
+	private Consumer<List<Sibling>> siblingsListener = (siblings) -> {
+	};
+
 	private SiblingNetwork(Sibling self, int minDaemons) throws IOException {
 		this.directory = new SiblingDirectory(self, minDaemons);
 		this.server = new SiblingServer(self.address());
@@ -72,16 +96,40 @@
 				controlThread, relayControl, metrics, clock);
 	}
 
+	// Shares the limits of upstreams with the other daemons, which the handler answers
+	// once
+	// the server starts.
+	void shareLimits(ControlThread controlThread, UpstreamLimits limits, MonotonicClock clock) {
+		SiblingCalls calls = new SiblingCalls(controlThread, LIMIT_CALL_THREADS, MAX_QUEUED_LIMIT_CALLS);
+		SiblingClient siblingClient = new HttpSiblingClient(this.client, LIMIT_CALL_TIMEOUT);
+		LimitSharing sharing = new LimitSharing(self(), limits,
+				(address, request, onReply, onFailure) -> calls
+					.start(() -> siblingClient.requestShares(address, request), onReply, onFailure),
+				clock, new SplittableRandom(new SecureRandom().nextLong()));
+		new SharesHandler((name) -> this.directory.find(name).isPresent(),
+				(request, onReply) -> controlThread.post(() -> onReply.accept(sharing.answer(request))))
+			.register(this.server);
+		this.sharingStarter = () -> {
+			controlThread.scheduleWithFixedDelay(LimitSharing.SHARE_PERIOD, sharing::exchangeShares);
+			controlThread.scheduleWithFixedDelay(LimitSharing.MEMBERSHIP_PERIOD, sharing::updateMembership);
+		};
+		this.limitCalls = Optional.of(calls);
+		this.siblingsListener = (siblings) -> controlThread.post(() -> sharing.update(siblings));
+	}
+
 	void update(int daemonCount, List<Sibling> siblings) {
 		this.directory.update(siblings, daemonCount);
+		this.siblingsListener.accept(siblings);
 	}
 
 	void start() throws IOException {
 		this.server.start();
+		this.sharingStarter.run();
 	}
 
 	@Override
 	public void close() {
+		this.limitCalls.ifPresent(SiblingCalls::close);
 		this.server.close();
 		this.client.close();
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -16,7 +16,6 @@
 import java.util.stream.Stream;
 
 import org.mulberrycross.UpstreamInstance;
-import org.mulberrycross.caller.RouteRule;
 import org.mulberrycross.engine.EngineInstance;
 import org.mulberrycross.engine.EnginePath;
 import org.mulberrycross.engine.EngineProfile;
@@ -56,6 +55,8 @@
 
 	private final UpstreamDirectory directory;
 
+	private final EligibleUpstreams eligible;
+
 	private final UpstreamHealth health;
 
 	private final EngineSlowdowns slowdowns;
@@ -84,9 +85,10 @@
 
 	private boolean balanceBySlots;
 
-	UpstreamSelector(UpstreamDirectory directory, UpstreamHealth health, EngineSlowdowns slowdowns, String dataCentre,
-			RandomGenerator random, OutstandingWork outstandingWork) {
+	UpstreamSelector(UpstreamDirectory directory, EligibleUpstreams eligible, UpstreamHealth health,
+			EngineSlowdowns slowdowns, String dataCentre, RandomGenerator random, OutstandingWork outstandingWork) {
 		this.directory = directory;
+		this.eligible = eligible;
 		this.health = health;
 		this.slowdowns = slowdowns;
 		this.dataCentre = dataCentre;
@@ -127,35 +129,6 @@
 		});
 	}
 
-	// Returns the time until the first of the upstreams to which requests of a route are
-	// sent ends its rest, or empty unless all of them rest.
-	Optional<Duration> untilRestEnds(RouteRule rule, long nowNanos) {
-		List<DirectoryEntry> entries = rule.services()
-			.stream()
-			.flatMap((service) -> this.directory.eligibleEntries(service.service()).stream())
-			.filter(UpstreamSelector::takesRequests)
-			.toList();
-		List<Duration> rests = entries.stream()
-			.flatMap((entry) -> this.health.untilRestEnds(entry.instance().id(), nowNanos).stream())
-			.toList();
-		return (rests.size() == entries.size()) ? rests.stream().min(Comparator.naturalOrder()) : Optional.empty();
-	}
-
-	// Returns whether requests are sent to an upstream itself: to an instance of a plain
-	// service, or to an engine that holds the first layers.
-	private static boolean takesRequests(DirectoryEntry entry) {
-		return entry.engine()
-			.map((engine) -> engine.layers().map(LayerRange::first).equals(Optional.of(0)))
-			.orElse(true);
-	}
-
-	private List<DirectoryEntry> eligibleEntries(String service, long nowNanos) {
-		return this.directory.eligibleEntries(service)
-			.stream()
-			.filter((entry) -> this.health.untilRestEnds(entry.instance().id(), nowNanos).isEmpty())
-			.toList();
-	}
-
 	// Returns the tokens of a request that is sent to a service.
 	RequestTokens requestTokens(RelayExchange exchange, String service) {
 		EngineProfile profile = this.profiles.get(service);
@@ -168,7 +141,7 @@
 	// Finds a path through the engines of a service, relaxing the criteria step by step.
 	private Optional<EnginePath> selectPath(RelayExchange exchange, String service, long nowNanos) {
 		List<EngineInstance> engines = new ArrayList<>();
-		eligibleEntries(service, nowNanos).forEach((entry) -> entry.engine().ifPresent(engines::add));
+		this.eligible.entries(service, nowNanos).forEach((entry) -> entry.engine().ifPresent(engines::add));
 		EngineProfile profile = this.profiles.get(service);
 		RequestTokens tokens = requestTokens(exchange, service);
 		Predicate<EngineInstance> notFailed = (engine) -> !exchange.failedUpstreams().contains(engine.id());
@@ -271,7 +244,8 @@
 					: this.load.at(instance.id()).requests())
 			.thenComparing((instance) -> !instance.dataCentre().equals(this.dataCentre));
 		List<UpstreamInstance> instances = new ArrayList<>();
-		eligibleEntries(service, nowNanos).stream()
+		this.eligible.entries(service, nowNanos)
+			.stream()
 			.map(DirectoryEntry::instance)
 			.filter((instance) -> !exchange.failedUpstreams().contains(instance.id()))
 			.forEach(instances::add);
@@ -300,7 +274,8 @@
 	}
 
 	private Room room(RelayExchange exchange, String service, long nowNanos) {
-		List<DirectoryEntry> entries = eligibleEntries(service, nowNanos).stream()
+		List<DirectoryEntry> entries = this.eligible.entries(service, nowNanos)
+			.stream()
 			.filter((entry) -> !exchange.failedUpstreams().contains(entry.instance().id()))
 			.toList();
 		Predicate<DirectoryEntry> notEjected = (entry) -> !this.health.isEjected(entry.instance().id(), nowNanos);
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/EarlyMovesTest.java
@@ -56,13 +56,15 @@
 
 	private final UpstreamHealth health = new UpstreamHealth();
 
-	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.health, new EngineSlowdowns(),
-			"dc", new SplittableRandom(1), (engineId, own, nowNanos) -> own);
-
 	private final MetricRegistry registry = new MetricRegistry();
 
 	private final RelayMetrics metrics = new RelayMetrics(this.registry);
 
+	private final UpstreamSelector selector = new UpstreamSelector(this.directory,
+			new EligibleUpstreams(this.directory, this.health,
+					new UpstreamLimits(1, this.metrics, new SplittableRandom(1))),
+			this.health, new EngineSlowdowns(), "dc", new SplittableRandom(1), (engineId, own, nowNanos) -> own);
+
 	private final RequestLog requestLog = new RequestLog(NOPLogger.NOP_LOGGER, MonotonicClock.system());
 
 	private final InFlightRequests inFlight = new InFlightRequests(this.selector, this.metrics, this.requestLog,
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
+import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -47,8 +48,13 @@
 
 	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
 
-	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, "dc",
-			new SplittableRandom(1), (engineId, own, nowNanos) -> own);
+	private final UpstreamLimits limits = new UpstreamLimits(1, new RelayMetrics(new MetricRegistry()),
+			new SplittableRandom(1));
+
+	private final EligibleUpstreams eligible = new EligibleUpstreams(this.directory, this.health, this.limits);
+
+	private final UpstreamSelector selector = new UpstreamSelector(this.directory, this.eligible, this.health,
+			this.slowdowns, "dc", new SplittableRandom(1), (engineId, own, nowNanos) -> own);
 
 	private final RelayExchange exchange = exchange(100);
 
@@ -77,6 +83,10 @@
 				Optional.of(new EngineInstance(instance, "kind", Optional.of(new LayerRange(from, to)), 1))));
 	}
 
+	private Optional<Duration> untilAvailable(long nowNanos) {
+		return this.eligible.unavailability(this.exchange, nowNanos).map(EligibleUpstreams.Unavailability::remaining);
+	}
+
 	private List<String> selectPath() {
 		return this.selector.select(this.exchange, Duration.ofSeconds(5), 0)
 			.flatMap(Forwarding::path)
@@ -192,9 +202,9 @@
 	void tellsEarliestEndOfRest() {
 		put("another", 0, 5, 134);
 		this.health.recordRest("first", Duration.ofSeconds(7), 0);
-		assertThat(this.selector.untilRestEnds(RULE, 0)).isEqualTo(Optional.empty());
+		assertThat(untilAvailable(0)).isEqualTo(Optional.empty());
 		this.health.recordRest("another", Duration.ofSeconds(4), 0);
-		assertThat(this.selector.untilRestEnds(RULE, 0)).isEqualTo(Optional.of(Duration.ofSeconds(4)));
+		assertThat(untilAvailable(0)).isEqualTo(Optional.of(Duration.ofSeconds(4)));
 	}
 
 	/**
