--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -13,7 +13,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import org.mulberrycross.Address;
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.caller.ClientCall;
@@ -41,12 +40,6 @@
 	 */
 	static final Duration CHECK_PERIOD = Duration.ofMillis(25);
 
-	/**
-	 * A rejection within this time means that the engine is saturated; a dead engine is
-	 * reported only after a longer silence.
-	 */
-	private static final Duration MAX_SATURATION_REPLY_TIME = Duration.ofMillis(700);
-
 	/** Minimum time before the deadline for an attempt to be worth sending. */
 	private static final Duration MIN_REMAINING_TIME = Duration.ofMillis(30);
 
@@ -69,6 +62,10 @@
 
 	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
 
+	private final UpstreamLimits limits;
+
+	private final EligibleUpstreams eligible;
+
 	private final ResponseBuffers responseBuffers = new ResponseBuffers();
 
 	private final RequestAdmission admission;
@@ -79,6 +76,8 @@
 
 	private final RequestLog requestLog;
 
+	private final UpstreamRejections rejections;
+
 	private final InFlightRequests inFlight;
 
 	private final EarlyMoves earlyMoves;
@@ -105,13 +104,16 @@
 		Objects.requireNonNull(engineProber, "engineProber");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.admission = new RequestAdmission(settings, clock);
-		this.selector = new UpstreamSelector(this.directory, this.health, this.slowdowns, settings.dataCentre(), random,
-				this.fleetLoad);
+		this.limits = new UpstreamLimits(DEFAULT_DAEMON_COUNT, metrics, random);
+		this.eligible = new EligibleUpstreams(this.directory, this.health, this.limits);
+		this.selector = new UpstreamSelector(this.directory, this.eligible, this.health, this.slowdowns,
+				settings.dataCentre(), random, this.fleetLoad);
 		this.expectedCost = settings.features().expectedCost();
 		this.selector.useExpectedCost(this.expectedCost);
 		this.selector.reload(settings.features().waiting());
 		this.retryPolicy = new RetryPolicy(settings, DEFAULT_DAEMON_COUNT, this::isSuspected, clock);
 		this.requestLog = new RequestLog(logger, clock);
+		this.rejections = new UpstreamRejections(this.directory, this.selector, this.health, this.requestLog);
 		this.inFlight = new InFlightRequests(this.selector, metrics, this.requestLog, clock, this::handleSentEnded);
 		this.earlyMoves = new EarlyMoves(settings, this.inFlight, this.selector, this.health,
 				(service) -> configuration().map((present) -> present.profilesByService().get(service)),
@@ -153,6 +155,11 @@
 		return this.selector.ownWork();
 	}
 
+	// Returns the limits of upstreams, which are confined to the control thread.
+	UpstreamLimits limits() {
+		return this.limits;
+	}
+
 	FleetLoad fleetLoad() {
 		this.controlThread.assertOnControlThread();
 		return this.fleetLoad;
@@ -201,6 +208,7 @@
 		this.admission.updateDaemonCount(count);
 		this.retryPolicy.updateDaemonCount(Math.max(1, count));
 		this.selector.updateDaemonCount(Math.max(1, count));
+		this.limits.updateDaemonCount(count);
 	}
 
 	void markDirectoryListed() {
@@ -289,9 +297,16 @@
 		if (dispatch(exchange)) {
 			return true;
 		}
-		Optional<Duration> untilRestEnds = this.selector.untilRestEnds(exchange.rule(), nowNanos);
-		untilRestEnds.ifPresent((rest) -> this.inFlight.fail(exchange, "all upstreams asked for a rest", rest));
-		return untilRestEnds.isPresent();
+		Optional<EligibleUpstreams.Unavailability> unavailability = this.eligible.unavailability(exchange, nowNanos);
+		unavailability
+			.ifPresent((found) -> this.inFlight.fail(exchange, found.reason(), retryAfter(exchange, found, nowNanos)));
+		return unavailability.isPresent();
+	}
+
+	// Returns when a client may come back whose request no upstream takes now.
+	private Duration retryAfter(RelayExchange exchange, EligibleUpstreams.Unavailability found, long nowNanos) {
+		return found.isLimit() ? this.limits.bookReturn(found.remaining(), exchange.remainingTime(nowNanos), nowNanos)
+				: found.remaining();
 	}
 
 	// Sends the request to the best upstream. Returns false if no upstream is eligible or
@@ -307,6 +322,7 @@
 		}
 		Optional<Forwarding> forwarding = this.selector.select(exchange, remaining, nowNanos)
 			.map((chosen) -> this.waiting.withRank(chosen, exchange));
+		this.limits.recordDemand(exchange.rule(), nowNanos);
 		if (forwarding.isEmpty()) {
 			return false;
 		}
@@ -320,6 +336,7 @@
 		exchange.addExecutions(1);
 		attempt.setExpectedMillis(this.selector.expectedMillis(attempt, nowNanos));
 		this.selector.recordSent(attempt);
+		attempt.setLimited(this.limits.recordSent(forwarding.get().upstream(), nowNanos));
 		this.requestLog.logSent(exchange, attempt);
 		attempt.attach(this.client.send(forwarding.get().upstream().address(),
 				this.messageFormat.encodeRequest(exchange.request(), forwarding.get()), attempt));
@@ -334,6 +351,7 @@
 				this.directory.markLeaving(attempt.forwarding().upstream());
 			}
 			upstreamHead.rest().ifPresent((rest) -> this.health.recordRest(id, rest, receivedNanos));
+			this.limits.record(attempt.forwarding().upstream(), upstreamHead, receivedNanos);
 		});
 	}
 
@@ -375,7 +393,7 @@
 			this.selector.releaseLoad(attempt);
 			if (upstreamHead.notExecuted()) {
 				exchange.addExecutions(-1);
-				recordRejection(attempt, upstreamHead, reason);
+				this.rejections.record(attempt, upstreamHead, reason, this.clock.nanos());
 				retryOrElse(exchange, reason,
 						() -> this.inFlight.fail(exchange, reason, retryAfterRejection(exchange)));
 				return;
@@ -395,37 +413,10 @@
 
 	// Returns when a client may come back after its request was rejected by an upstream.
 	private Duration retryAfterRejection(RelayExchange exchange) {
-		return this.selector.untilRestEnds(exchange.rule(), this.clock.nanos())
-			.orElseGet(() -> this.waiting.retryAfterRejection(exchange));
-	}
-
-	// Ejects the engine that caused the rejection, or the upstream if no engine is named.
-	// An engine that was sent layers that it does not hold is not merely saturated: its
-	// entry is outdated until it publishes a new one.
-	private void recordRejection(RelayAttempt attempt, UpstreamResponseHead upstreamHead, String reason) {
 		long nowNanos = this.clock.nanos();
-		String id = upstreamHead.faultyEngine()
-			.flatMap((address) -> findFaultyEngine(attempt, address))
-			.orElse(attempt.forwarding().upstream().id());
-		attempt.exchange().failedUpstreams().add(id);
-		this.requestLog.logRejected(attempt.exchange(), id, reason);
-		if (attempt.forwarding().path().isPresent() && !upstreamHead.misdirected()
-				&& nowNanos - attempt.startedNanos() < MAX_SATURATION_REPLY_TIME.toNanos()) {
-			this.selector.recordNoRoom(attempt, id, nowNanos);
-			return;
-		}
-		this.health.recordFailure(id, reason, nowNanos);
-	}
-
-	// Returns the engine of the attempt's path at an address. The directory may already
-	// list the next instance there.
-	private Optional<String> findFaultyEngine(RelayAttempt attempt, Address address) {
-		return attempt.forwarding()
-			.path()
-			.flatMap((path) -> path.engineAt(address))
-			.map(EngineInstance::id)
-			.or(() -> this.directory.findByAddress(attempt.forwarding().upstream().service(), address)
-				.map((entry) -> entry.instance().id()));
+		return this.eligible.unavailability(exchange, nowNanos)
+			.map((found) -> retryAfter(exchange, found, nowNanos))
+			.orElseGet(() -> this.waiting.retryAfterRejection(exchange));
 	}
 
 	@Override
@@ -519,6 +510,7 @@
 	void runPeriodicChecks() {
 		long nowNanos = this.clock.nanos();
 		this.directory.removeExpired(nowNanos);
+		this.limits.check((id) -> this.directory.find(id).isPresent(), nowNanos);
 		this.admission.updateReadiness();
 		this.admission.takeHeld().forEach(this::admitOrWait);
 		try {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/InFlightRequestsTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/InFlightRequestsTest.java
@@ -24,11 +24,20 @@
  */
 class InFlightRequestsTest {
 
-	private final InFlightRequests inFlight = new InFlightRequests(
-			new UpstreamSelector(new UpstreamDirectory(), new UpstreamHealth(), new EngineSlowdowns(), "dc",
-					new SplittableRandom(1), (engineId, own, nowNanos) -> own),
-			new RelayMetrics(new MetricRegistry()), new RequestLog(NOPLogger.NOP_LOGGER, MonotonicClock.system()),
-			MonotonicClock.system(), (exchange, completed) -> {
+	private final RelayMetrics metrics = new RelayMetrics(new MetricRegistry());
+
+	private final UpstreamDirectory directory = new UpstreamDirectory();
+
+	private final UpstreamHealth health = new UpstreamHealth();
+
+	private final UpstreamSelector selector = new UpstreamSelector(this.directory,
+			new EligibleUpstreams(this.directory, this.health,
+					new UpstreamLimits(1, this.metrics, new SplittableRandom(1))),
+			this.health, new EngineSlowdowns(), "dc", new SplittableRandom(1), (engineId, own, nowNanos) -> own);
+
+	private final InFlightRequests inFlight = new InFlightRequests(this.selector, this.metrics,
+			new RequestLog(NOPLogger.NOP_LOGGER, MonotonicClock.system()), MonotonicClock.system(),
+			(exchange, completed) -> {
 			});
 
 	/** Fails if a request is counted whose client left before it was started. */
