Reserve a second for the exit at the end of the grace period

The reserve is a second, and at most the last sixth of the grace period, in which requests may be cut off.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/GracefulShutdown.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/GracefulShutdown.java
@@ -31,8 +31,13 @@
 	 */
 	private static final Duration REFUSAL_DELAY = Duration.ofMillis(2500);
 
-	/** Part of the grace period that is reserved for ending the process. */
-	private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
+	/**
+	 * Time that is reserved for ending the process, and the part of the grace period that
+	 * it may take: requests that are still at work in the last sixth may be cut off.
+	 */
+	private static final Duration EXIT_MARGIN = Duration.ofMillis(1000);
+
+	private static final int GRACE_PARTS_PER_MARGIN = 6;
 
 	/**
 	 * Idle time after which a connection is closed. A client that has its next request
@@ -62,7 +67,8 @@
 		long startNanos = this.clock.nanos();
 		logger.atInfo().addKeyValue("open", this.requests.inFlightCount().getAsInt()).log("daemon shutting down");
 		long refuseAtNanos = startNanos + REFUSAL_DELAY.toNanos();
-		long deadlineNanos = startNanos + grace.minus(EXIT_MARGIN).toNanos();
+		long marginNanos = Math.min(EXIT_MARGIN.toNanos(), grace.toNanos() / GRACE_PARTS_PER_MARGIN);
+		long deadlineNanos = startNanos + grace.toNanos() - marginNanos;
 		this.requests.refuseFrom().accept(refuseAtNanos);
 		this.server.closeAfterResponses();
 		TimeUnit.NANOSECONDS.sleep(Math.min(refuseAtNanos, deadlineNanos) - startNanos);
