Let unused turns under a request limit lapse

Engines that name a limit could get far more after a quiet time, with no fault: daemons that hold no slot saved up one request each, and sent them together when requests returned.

A turn lapses if it is not used within 500 ms, and starts at a random time whenever a daemon changes to turns. An answer of an earlier start no longer replaces the limit of a later one. Retry-After counts on an owner's first reply only for one lease time.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/LimitedUpstream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/LimitedUpstream.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 
 import org.mulberrycross.engine.RateLimit;
@@ -28,6 +29,12 @@
 	/** Longest time between such requests. */
 	private static final Duration MIN_PROBE_INTERVAL = Duration.ofSeconds(10);
 
+	/**
+	 * Maximum time for which a turn of this daemon's own part may be used. Turns that
+	 * could be saved up would be used by all daemons at once when requests return.
+	 */
+	private static final Duration MAX_TURN_TIME = Duration.ofMillis(500);
+
 	/** Time until the first reply of an owner. */
 	private static final Duration FIRST_REPLY_TIME = Duration.ofMillis(200);
 
@@ -48,15 +55,15 @@
 	/** When the slots in use come free, in order. */
 	private final Deque<Long> slotEndNanos = new ArrayDeque<>();
 
-	/**
-	 * When a request was last sent. Before the first one, a random part of the interval
-	 * ago, since daemons learn of a limit at about the same time.
-	 */
-	private long lastSentNanos;
+	private final RandomGenerator random;
+
+	private final long namedNanos;
 
-	private final double phase;
+	/** The next turn of this daemon's own part, empty while it holds slots. */
+	private OptionalLong turnNanos = OptionalLong.empty();
 
-	private boolean sentBefore;
+	/** The time between two turns, in nanoseconds. */
+	private long turnInterval;
 
 	private long sent;
 
@@ -68,8 +75,8 @@
 		this.slots = limit.slots();
 		this.windowNanos = limit.window().toNanos();
 		this.shares = shares;
-		this.phase = random.nextDouble();
-		this.lastSentNanos = nowNanos;
+		this.random = random;
+		this.namedNanos = nowNanos;
 		shares.ifPresent((held) -> held.open(this.name));
 	}
 
@@ -90,26 +97,42 @@
 		return this.shares.map((held) -> held.hasFreeSlot(this.name, this.slots, nowNanos)).orElse(false);
 	}
 
+	// Returns the time until the next turn of this daemon's own part, 0 or less while it
+	// may be used. A turn that is not used in time lapses.
 	private long untilOwnPart(int daemonCount, long nowNanos) {
-		double interval = Math.max(1, daemonCount) / this.key.limit().requestsPerSecond() * NANOS_PER_SECOND;
 		if (heldSlots(nowNanos) > 0) {
+			this.turnNanos = OptionalLong.empty();
 			return Long.MAX_VALUE;
 		}
-		if (this.shares.map((held) -> held.isReported(this.name, nowNanos)).orElse(false)) {
-			interval = Math.max(MIN_PROBE_INTERVAL.toNanos(), interval * PARTS_PER_PROBE);
+		long interval = turnInterval(daemonCount, nowNanos);
+		if (this.turnNanos.isEmpty() || interval != this.turnInterval) {
+			// Daemons learn of a limit, or lose their slots, at about the same time.
+			this.turnInterval = interval;
+			this.turnNanos = OptionalLong.of(nowNanos + (long) (this.random.nextDouble() * interval));
+		}
+		long lapsedNanos = nowNanos - this.turnNanos.getAsLong() - Math.min(MAX_TURN_TIME.toNanos(), interval);
+		if (lapsedNanos >= 0) {
+			this.turnNanos = OptionalLong.of(this.turnNanos.getAsLong() + (lapsedNanos / interval + 1) * interval);
 		}
-		double factor = this.sentBefore ? 1 : this.phase;
-		return this.lastSentNanos + (long) (interval * factor) - nowNanos;
+		return this.turnNanos.getAsLong() - nowNanos;
+	}
+
+	private long turnInterval(int daemonCount, long nowNanos) {
+		double interval = Math.max(1, daemonCount) / this.key.limit().requestsPerSecond() * NANOS_PER_SECOND;
+		boolean reported = this.shares.map((held) -> held.isReported(this.name, nowNanos)).orElse(false);
+		return (long) (reported ? Math.max(MIN_PROBE_INTERVAL.toNanos(), interval * PARTS_PER_PROBE) : interval);
 	}
 
-	// Records a request that was sent, within the share if it has a free slot.
-	void recordSent(long nowNanos) {
+	// Records a request that was sent, within the share if it has a free slot and as a
+	// turn of the own part otherwise.
+	void recordSent(int daemonCount, long nowNanos) {
 		this.sent++;
-		this.sentBefore = true;
-		this.lastSentNanos = nowNanos;
 		if (this.shares.map((held) -> held.tryAcquire(this.name, this.slots, nowNanos)).orElse(false)) {
 			this.slotEndNanos.add(nowNanos + this.windowNanos);
+			return;
 		}
+		this.turnInterval = turnInterval(daemonCount, nowNanos);
+		this.turnNanos = OptionalLong.of(nowNanos + this.turnInterval);
 	}
 
 	// Records that a request could use this upstream, which makes the share grow.
@@ -127,7 +150,8 @@
 		}
 		long ownPart = Math.max(0, untilOwnPart(daemonCount, nowNanos));
 		boolean reported = this.shares.map((held) -> held.isReported(this.name, nowNanos)).orElse(false);
-		if (this.shares.isPresent() && !reported) {
+		boolean replyDue = nowNanos - this.namedNanos < LimitShares.LEASE.toNanos();
+		if (this.shares.isPresent() && !reported && replyDue) {
 			return Duration.ofNanos(Math.min(ownPart, FIRST_REPLY_TIME.toNanos()));
 		}
 		double turn = Math.max(1, daemonCount) / this.key.limit().requestsPerSecond() * NANOS_PER_SECOND;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLimits.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLimits.java
@@ -102,7 +102,9 @@
 
 	private void name(UpstreamInstance upstream, RateLimit limit, long nowNanos) {
 		LimitKey key = new LimitKey(upstream.id(), upstream.startedMillis(), limit);
-		if (find(upstream).filter((known) -> known.key().equals(key)).isPresent()) {
+		Optional<LimitKey> known = Optional.ofNullable(this.limits.get(upstream.id())).map(LimitedUpstream::key);
+		// An answer of an earlier start may arrive late.
+		if (known.filter((held) -> held.equals(key) || held.startedMillis() > key.startedMillis()).isPresent()) {
 			return;
 		}
 		forget(upstream.id());
@@ -180,7 +182,7 @@
 	// a limit.
 	boolean recordSent(UpstreamInstance upstream, long nowNanos) {
 		Optional<LimitedUpstream> limit = find(upstream);
-		limit.ifPresent((found) -> found.recordSent(nowNanos));
+		limit.ifPresent((found) -> found.recordSent(this.daemonCount, nowNanos));
 		return limit.isPresent();
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/LimitSharingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/LimitSharingTest.java
@@ -158,6 +158,33 @@
 		assertLimitIsKept();
 	}
 
+	/**
+	 * Fails if daemons save up what they do not use, and spend it together when requests
+	 * return after a quiet time.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "5, 1, 20", "20, 1, 300", "20, 2, 20", "38, 1, 300", "38, 2, 20", "38, 5, 20", "61, 1, 300",
+			"61, 2, 20", "61, 5, 300", "61, 11.6, 20" })
+	void fleetKeepsLimitAfterQuietTime(int daemonCount, double requestsPerSecond, int quietSeconds) {
+		startFleet(daemonCount, requestsPerSecond, 3);
+		run(quietSeconds * 1000, 0);
+		run(12_000, 2);
+		assertLimitIsKept();
+	}
+
+	/** The same while no daemon hears of another. */
+	@ParameterizedTest
+	@CsvSource({ "38, 0.5", "38, 2", "61, 5", "61, 11.6" })
+	void isolatedDaemonsKeepLimitAfterQuietTime(int daemonCount, double requestsPerSecond) {
+		startFleet(daemonCount, requestsPerSecond, 3);
+		for (int i = 0; i < daemonCount; i++) {
+			this.daemons.get(i).moveTo(i);
+		}
+		run(60_000, 0);
+		run(20_000, 2);
+		assertLimitIsKept();
+	}
+
 	private static Address address(int index) {
 		return new Address("10.0.0.1", 1000 + index);
 	}
