--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
@@ -96,9 +96,8 @@
 				controlThread, relayControl, metrics, clock);
 	}
 
-	// Shares the limits of upstreams with the other daemons, which the handler answers
-	// once
-	// the server starts.
+	// Shares the limits of upstreams with the other daemons. Their requests are answered
+	// once the server starts.
 	void shareLimits(ControlThread controlThread, UpstreamLimits limits, MonotonicClock clock) {
 		SiblingCalls calls = new SiblingCalls(controlThread, LIMIT_CALL_THREADS, MAX_QUEUED_LIMIT_CALLS);
 		SiblingClient siblingClient = new HttpSiblingClient(this.client, LIMIT_CALL_TIMEOUT);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLimits.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLimits.java
@@ -77,11 +77,10 @@
 	}
 
 	// Returns the slots that the owner of a limit may lease out: its own part and those
-	// of
-	// the daemons that report to it. A daemon that reports to no owner uses its part
+	// of the daemons that report to it. A daemon that reports to no owner uses its part
 	// itself, so that all daemons together keep the limit whoever hears of whom. An owner
-	// that hears of nobody uses only its part, and one of others has at least one slot
-	// that goes round.
+	// that hears of nobody uses only its part; one of others has at least one slot, which
+	// goes round.
 	int ownedSlots(String key, int borrowers) {
 		if (borrowers == 0 && this.daemonCount > 1) {
 			return 0;
--- a/mulberrycross/src/test/java/org/mulberrycross/http/KeptConnectionTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/KeptConnectionTest.java
@@ -280,9 +280,8 @@
 		assertThat(this.server.isAnswering()).isFalse();
 	}
 
-	// Waits until the server has read what other connections sent before: one thread
-	// reads
-	// all connections, in the order in which their bytes arrive.
+	// Waits until the server has read what other connections sent before. One thread
+	// reads all connections, in the order in which their bytes arrive.
 	private void awaitReadsBefore() throws Exception {
 		try (Socket other = RawHttp.connect(this.port)) {
 			request(other, "/other");
