Compute the interval of a limit's own part in one place

LimitedUpstream divided the limit by the daemons in two places and asked twice whether an owner counts it; recordDemand had a parameter without use, UpstreamLimits sorted a list of which it used the size and a sum, and the comment on MIN_PROBE_INTERVAL said the longest time for the shortest. Behaviour stays as it is.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/LimitedUpstream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/LimitedUpstream.java
@@ -26,7 +26,7 @@
 	 */
 	private static final int PARTS_PER_PROBE = 4;
 
-	/** Longest time between such requests. */
+	/** Minimum time between such requests. */
 	private static final Duration MIN_PROBE_INTERVAL = Duration.ofSeconds(10);
 
 	/**
@@ -118,9 +118,19 @@
 	}
 
 	private long turnInterval(int daemonCount, long nowNanos) {
-		double interval = Math.max(1, daemonCount) / this.key.limit().requestsPerSecond() * NANOS_PER_SECOND;
-		boolean reported = this.shares.map((held) -> held.isReported(this.name, nowNanos)).orElse(false);
-		return (long) (reported ? Math.max(MIN_PROBE_INTERVAL.toNanos(), interval * PARTS_PER_PROBE) : interval);
+		double interval = ownInterval(daemonCount);
+		return (long) (isReported(nowNanos) ? Math.max(MIN_PROBE_INTERVAL.toNanos(), interval * PARTS_PER_PROBE)
+				: interval);
+	}
+
+	// Returns the time between two requests of one daemon if the limit is divided
+	// equally.
+	private double ownInterval(int daemonCount) {
+		return Math.max(1, daemonCount) / this.key.limit().requestsPerSecond() * NANOS_PER_SECOND;
+	}
+
+	private boolean isReported(long nowNanos) {
+		return this.shares.map((held) -> held.isReported(this.name, nowNanos)).orElse(false);
 	}
 
 	// Records a request that was sent, within the share if it has a free slot and as a
@@ -136,7 +146,7 @@
 	}
 
 	// Records that a request could use this upstream, which makes the share grow.
-	void recordDemand(int daemonCount, long nowNanos) {
+	void recordDemand(long nowNanos) {
 		if (!hasFreeSlot(nowNanos)) {
 			this.shares.ifPresent((held) -> held.recordUnmetDemand(this.name, this.slots, nowNanos));
 		}
@@ -149,13 +159,11 @@
 			return Duration.ofNanos(Math.max(0, this.slotEndNanos.peek() - nowNanos));
 		}
 		long ownPart = Math.max(0, untilOwnPart(daemonCount, nowNanos));
-		boolean reported = this.shares.map((held) -> held.isReported(this.name, nowNanos)).orElse(false);
 		boolean replyDue = nowNanos - this.namedNanos < LimitShares.LEASE.toNanos();
-		if (this.shares.isPresent() && !reported && replyDue) {
+		if (this.shares.isPresent() && !isReported(nowNanos) && replyDue) {
 			return Duration.ofNanos(Math.min(ownPart, FIRST_REPLY_TIME.toNanos()));
 		}
-		double turn = Math.max(1, daemonCount) / this.key.limit().requestsPerSecond() * NANOS_PER_SECOND;
-		return Duration.ofNanos(Math.min(ownPart, (long) turn));
+		return Duration.ofNanos(Math.min(ownPart, (long) ownInterval(daemonCount)));
 	}
 
 	// Returns the rate at which this daemon may send at present.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLimits.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamLimits.java
@@ -1,10 +1,8 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -174,7 +172,7 @@
 		this.limits.values()
 			.stream()
 			.filter((limit) -> services.contains(limit.service()))
-			.forEach((limit) -> limit.recordDemand(this.daemonCount, nowNanos));
+			.forEach((limit) -> limit.recordDemand(nowNanos));
 	}
 
 	// Counts a request that is sent to an upstream now. Returns whether the upstream has
@@ -215,15 +213,11 @@
 	private void report(long nowNanos) {
 		int held = this.limits.values().stream().mapToInt((limit) -> limit.heldSlots(nowNanos)).sum();
 		this.metrics.updateLimitSlots(held);
-		List<LimitedUpstream> sorted = this.limits.values()
-			.stream()
-			.sorted(Comparator.comparing((limit) -> limit.key().upstream()))
-			.toList();
 		logger.atInfo()
-			.addKeyValue("upstreams", sorted.size())
+			.addKeyValue("upstreams", this.limits.size())
 			.addKeyValue("slots_held", held)
 			.addKeyValue("daemons", this.daemonCount)
-			.addKeyValue("sent", sorted.stream().mapToLong(LimitedUpstream::takeSent).sum())
+			.addKeyValue("sent", this.limits.values().stream().mapToLong(LimitedUpstream::takeSent).sum())
 			.log("request limits in use");
 	}
 
