review: daemons miss changes after a store came back from a copy

Cause: after a lost connection a watch goes on from a revision of the store's former era, which the store has given out again by then. Done: a script with five daemons that follow the store, silent connections and a change of the configuration 0.2 s after the drill.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,6 +7,6 @@
 [ -d target/review-2 ] && [ -f platform/target/router.jar ] || exit 2
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-timeout 115 java -Xmx256m -cp 'target/review-2:platform/target/lib/*' StoreCopyWatch "$folder" "$work" "${TROUBLE:-1}"
+timeout 115 java -Xmx256m -cp 'target/review-2:platform/target/lib/*' StoreCopyWatch "$folder" "$work" "${TROUBLE:-1}" later
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -45,6 +45,9 @@
 
 	private final long born = System.currentTimeMillis();
 
+	/** How long a request to a plain service takes. */
+	private static final long WORK_MILLIS = 30;
+
 	/** Whether this engine is in trouble and answers streams with bytes that are no answer. */
 	private volatile boolean troubled;
 
@@ -174,7 +177,7 @@
 			return stream(request, attempt);
 		}
 		this.onRun.accept(attempt, this);
-		Thread.sleep(30);
+		Thread.sleep(WORK_MILLIS);
 		return signed(200, attempt, "answer " + attempt);
 	}
 
--- a/review/standins-2/StoreCopyLease.java
+++ b/review/standins-2/StoreCopyLease.java
@@ -97,7 +97,7 @@
 		record.add("lease " + lease(store));
 		if (trouble) {
 			record.add("the store is away, at revision " + store.revision());
-			store.restore(copy, 400);
+			store.restore(copy, 400, true);
 			record.add("the store is back from the copy, at revision " + store.revision() + ", lease " + lease(store));
 			store.remove("servers", "i-model1");
 			engines.forEach(Engine::publish);
--- a/review/standins-2/StoreCopyWatch.java
+++ b/review/standins-2/StoreCopyWatch.java
@@ -6,9 +6,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * The store comes back from a copy that is some seconds old; some seconds later the operator
- * takes a key away and moves a route. Checks the rule CONFIG at each of eight daemons.
- * Arguments: the folder of the record, a temporary folder, and 1 with or 0 without the drill.
+ * The store comes back from a copy that is some seconds old; the operator takes a key away and
+ * moves a route. Checks the rule CONFIG at each daemon. Arguments: the folder of the record, a
+ * temporary folder, 1 with or 0 without the drill, and "later" (eight daemons, of which some
+ * follow others; the change comes 6 s after the drill) or "at-once" (five daemons, which follow
+ * the store; the change comes 0.2 s after it, while their connections are silent).
  */
 final class StoreCopyWatch {
 
@@ -16,7 +18,10 @@
 
 	private static final long REVOKE_MILLIS = 5000;
 
-	private static final int VERSIONS_BEFORE = 6;
+	private static final List<String> FIVE_MACHINES = List.of("1-1", "1-2", "2-1", "2-2", "3-1");
+
+	/** The five machines of the site and its three spare ones. */
+	private static final List<String> EIGHT_MACHINES = List.of("1-1", "1-2", "1-3", "2-1", "2-2", "2-3", "3-1", "3-2");
 
 	private StoreCopyWatch() {
 	}
@@ -27,12 +32,13 @@
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> daemons.forEach(Daemon::close)));
 		int status = 2;
 		try (Record record = new Record(Path.of(arguments[0], "record.txt"))) {
-			status = run(record, Path.of(arguments[1]), trouble, daemons);
+			status = run(record, Path.of(arguments[1]), trouble, arguments[3].equals("later"), daemons);
 		}
 		System.exit(status);
 	}
 
-	private static int run(Record record, Path folder, boolean trouble, List<Daemon> daemons) throws Exception {
+	private static int run(Record record, Path folder, boolean trouble, boolean later, List<Daemon> daemons)
+			throws Exception {
 		StoreStandIn store = new StoreStandIn();
 		Map<String, String> runs = new ConcurrentHashMap<>();
 		for (String service : List.of("records", "archive")) {
@@ -48,8 +54,7 @@
 			.route("/stays/", "safe", "records")
 			.route("/moves/", "safe", "records");
 		configuration.publish();
-		// The five machines of the site and its three spare ones.
-		for (String machine : List.of("1-1", "1-2", "1-3", "2-1", "2-2", "2-3", "3-1", "3-2")) {
+		for (String machine : later ? EIGHT_MACHINES : FIVE_MACHINES) {
 			daemons.add(new Daemon("edge-centro-" + machine, "centro-" + machine.charAt(0), store.address(), folder));
 		}
 		if (!Daemon.awaitReady(daemons, 25)) {
@@ -61,20 +66,21 @@
 
 		StoreStandIn.Copy copy = store.copy();
 		record.add("the copy of the store is made, at revision " + copy.revision());
-		for (int i = 0; i < VERSIONS_BEFORE; i++) {
+		int versionsBefore = later ? 6 : 2;
+		for (int i = 0; i < versionsBefore; i++) {
 			configuration.addKey("key-more-" + i).publish();
 			record.add("operator writes version " + configuration.version() + ", revision " + store.revision());
 			Thread.sleep(500);
 		}
-		Thread.sleep(1000);
+		Thread.sleep(later ? 1000 : 2500);
 		if (trouble) {
 			record.add("the store is away, at revision " + store.revision());
-			store.restore(copy, 400);
+			store.restore(copy, 400, later);
 			record.add("the store is back from the copy, at revision " + store.revision());
 			configuration.write();
 			record.add("operator writes version " + configuration.version() + " again, revision " + store.revision());
 		}
-		Thread.sleep(6000);
+		Thread.sleep(later ? 6000 : 200);
 
 		configuration.removeKey("key-taken-away")
 			.route("/moves/", "safe", "archive")
--- a/review/standins-2/StoreStandIn.java
+++ b/review/standins-2/StoreStandIn.java
@@ -2,8 +2,10 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -38,6 +40,9 @@
 
 	private boolean away;
 
+	/** Connections that return nothing further. */
+	private final Set<Socket> silent = new HashSet<>();
+
 	StoreStandIn() throws IOException {
 		this.server = new HttpServerStandIn("store", this::serve);
 	}
@@ -81,10 +86,10 @@
 	}
 
 	/**
-	 * Is away for a moment: calls get no answer. Then all connections that were open are reset,
-	 * and the store serves the copy, with the next era.
+	 * Is away for a moment: calls get no answer. Then the store serves the copy, with the next
+	 * era. The connections that were open are reset, or return nothing further.
 	 */
-	void restore(Copy copy, long awayMillis) throws InterruptedException {
+	void restore(Copy copy, long awayMillis, boolean reset) throws InterruptedException {
 		synchronized (this) {
 			this.away = true;
 		}
@@ -99,7 +104,12 @@
 			this.revision = copy.revision();
 			this.era++;
 			before = this.server.openConnections();
-			before.forEach(HttpServerStandIn::reset);
+			if (reset) {
+				before.forEach(HttpServerStandIn::reset);
+			}
+			else {
+				this.silent.addAll(before);
+			}
 			this.away = false;
 			notifyAll();
 		}
@@ -127,7 +137,7 @@
 	}
 
 	private synchronized HttpServerStandIn.Answer serve(HttpServerStandIn.Request request) throws Exception {
-		while (this.away) {
+		while (this.away || this.silent.contains(request.connection())) {
 			wait();
 		}
 		if (request.connection().isClosed()) {
@@ -169,10 +179,11 @@
 		long endNanos = System.nanoTime() + Long.parseLong(request.query().getOrDefault("wait-ms", "0")) * 1_000_000;
 		int askedEra = this.era;
 		while (true) {
-			if (this.era != askedEra || request.connection().isClosed()) {
+			if (request.connection().isClosed()
+					|| (this.era != askedEra && !this.silent.contains(request.connection()))) {
 				throw new IOException("the store was away during this watch");
 			}
-			if (this.away) {
+			if (this.away || this.silent.contains(request.connection())) {
 				wait();
 				continue;
 			}
