review: a sound engine's silent second breaks off its streams

Cause: an engine that does not answer a probe within 300 ms is taken for stalled; its streams are ended although no other path exists.

--- a/review/standins-2/EndlessBytes.java
+++ b/review/standins-2/EndlessBytes.java
@@ -1,10 +1,3 @@
-import java.io.BufferedInputStream;
-import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,9 +18,6 @@
 
 	private static final int STREAMS = 300;
 
-	/** A client abandons a stream after a gap of two seconds without an event. */
-	private static final long GAP_NANOS = TimeUnit.SECONDS.toNanos(2);
-
 	private EndlessBytes() {
 	}
 
@@ -61,7 +51,7 @@
 			record.add("not all daemons became ready");
 			return 2;
 		}
-		for (int i = 0; !engines.stream().allMatch(Engine::holdsLayers); i++) {
+		for (int i = 0; !engines.stream().allMatch(Engine::isFirst); i++) {
 			if (i == 200) {
 				record.add("not all engines got layers");
 				return 2;
@@ -85,17 +75,17 @@
 			String attempt = "s" + i;
 			String address = daemons.get(i % 2).callers();
 			clients.execute(() -> {
-				Stream stream = new Stream();
+				StreamClient stream = new StreamClient();
 				String end = stream.read(address, attempt);
-				if (end.equals("complete") && stream.events == Engine.EVENTS) {
+				if (end.equals("complete") && stream.events() == Engine.EVENTS) {
 					served.incrementAndGet();
 				}
-				if (stream.strayBytes > 0) {
+				if (stream.strayBytes() > 0) {
 					mixed.incrementAndGet();
-					strayBytes.addAndGet(stream.strayBytes);
+					strayBytes.addAndGet(stream.strayBytes());
 				}
-				record.add("stream " + attempt + ": status " + stream.status + ", signature " + stream.signature
-						+ ", events " + stream.events + ", bytes that are no event " + stream.strayBytes + ", " + end
+				record.add("stream " + attempt + ": status " + stream.status() + ", signature " + stream.signature()
+						+ ", events " + stream.events() + ", bytes that are no event " + stream.strayBytes() + ", " + end
 						+ ", run by " + runs.get(attempt));
 			});
 			Thread.sleep(100);
@@ -109,82 +99,4 @@
 		return (mixed.get() > 0) ? 1 : 0;
 	}
 
-	/** What a client gets of one stream. */
-	private static final class Stream {
-
-		private int status;
-
-		private String signature = "none";
-
-		private int events;
-
-		private long strayBytes;
-
-		private String read(String address, String attempt) {
-			int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
-			try (Socket socket = new Socket()) {
-				socket.connect(new InetSocketAddress("127.0.0.1", port), 1000);
-				socket.setSoTimeout(2000);
-				socket.getOutputStream()
-					.write(("POST /draft/a HTTP/1.1\r\nHost: " + Configuration.HOST + "\r\nAttempt-Id: " + attempt
-							+ "\r\nAuthorization: Token key-kept\r\nModel: m0\r\nToken-Usage: 60,40\r\n"
-							+ "Prefix-Hash: aa01:40,b" + Integer.toHexString(attempt.hashCode()) + ":20\r\nDeadline-Ms: 20000\r\n"
-							+ "Content-Length: 2\r\n\r\n{}").getBytes(StandardCharsets.ISO_8859_1));
-				return readAnswer(new BufferedInputStream(socket.getInputStream(), 1 << 16), attempt);
-			}
-			catch (SocketTimeoutException ex) {
-				return "abandoned";
-			}
-			catch (IOException | RuntimeException ex) {
-				return "broken off";
-			}
-		}
-
-		private String readAnswer(InputStream in, String attempt) throws IOException {
-			this.status = Integer.parseInt(HttpServerStandIn.readLine(in).split(" ")[1]);
-			for (String field = HttpServerStandIn.readLine(in); !field.isEmpty(); field = HttpServerStandIn
-				.readLine(in)) {
-				if (field.toLowerCase().startsWith("engine-signature:")) {
-					this.signature = field.substring(field.indexOf(':') + 1).trim();
-				}
-			}
-			if (this.status != 200) {
-				return "refused or failed";
-			}
-			StringBuilder text = new StringBuilder();
-			long eventNanos = System.nanoTime();
-			while (true) {
-				int length = Integer.parseInt(HttpServerStandIn.readLine(in).trim(), 16);
-				text.append(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
-				HttpServerStandIn.readLine(in);
-				if (takeEvents(text, attempt)) {
-					eventNanos = System.nanoTime();
-				}
-				if (length == 0) {
-					return "complete";
-				}
-				if (System.nanoTime() - eventNanos > GAP_NANOS) {
-					return "abandoned";
-				}
-			}
-		}
-
-		// Counts the events of the engines' answers, and the bytes of all else.
-		private boolean takeEvents(StringBuilder text, String attempt) {
-			int before = this.events;
-			for (int end = text.indexOf("\n\n"); end >= 0; end = text.indexOf("\n\n")) {
-				String event = text.substring(0, end);
-				text.delete(0, end + 2);
-				if (event.equals("id: " + (this.events + 1) + "\ndata: " + attempt)) {
-					this.events++;
-				}
-				else {
-					this.strayBytes += event.length() + 2;
-				}
-			}
-			return this.events > before;
-		}
-
-	}
-
 }
--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -1,6 +1,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,9 +20,9 @@
 	/** How long an engine takes to load layers. */
 	private static final long LOAD_MILLIS = 800;
 
-	static final int EVENTS = 10;
+	static final int EVENTS = 43;
 
-	private static final long EVENT_MILLIS = 25;
+	private static final long EVENT_MILLIS = 50;
 
 	/** All engines that run, by address. */
 	private static final Map<String, Engine> RUNNING = new ConcurrentHashMap<>();
@@ -48,6 +49,9 @@
 	/** How long a request to a plain service takes. */
 	private static final long WORK_MILLIS = 30;
 
+	/** Until when this engine is silent. */
+	private volatile long silentUntilNanos = System.nanoTime();
+
 	/** Whether this engine is in trouble and answers streams with bytes that are no answer. */
 	private volatile boolean troubled;
 
@@ -91,8 +95,9 @@
 		return this.zone;
 	}
 
-	synchronized boolean holdsLayers() {
-		return this.to > this.from;
+	/** Returns whether this engine is the first one of paths. */
+	synchronized boolean isFirst() {
+		return this.from == 0 && this.to > 0;
 	}
 
 	/** Returns whether the engines hold all layers together. */
@@ -135,6 +140,19 @@
 		}
 	}
 
+	/** Falls silent for a time and goes on: nothing is read, answered or sent meanwhile. */
+	void fallSilent(long millis) {
+		this.silentUntilNanos = System.nanoTime() + millis * 1_000_000;
+		this.record.add("engine " + this.id + " falls silent for " + millis + " ms");
+	}
+
+	private void awaitVoice() throws InterruptedException {
+		for (long nanos = this.silentUntilNanos - System.nanoTime(); nanos > 0; nanos = this.silentUntilNanos
+				- System.nanoTime()) {
+			Thread.sleep(nanos / 1_000_000 + 1);
+		}
+	}
+
 	/** From now on, answers streams with bytes that are no answer, without end. */
 	void breakDown() {
 		this.troubled = true;
@@ -159,6 +177,7 @@
 	}
 
 	private HttpServerStandIn.Answer serve(HttpServerStandIn.Request request) throws Exception {
+		awaitVoice();
 		String expected = request.headers().get("expect-instance");
 		if (expected != null && !expected.equals(this.id)) {
 			return misdirected();
@@ -272,8 +291,10 @@
 	// Runs a stream on the path that the request names, or alone with all layers.
 	private HttpServerStandIn.Answer stream(HttpServerStandIn.Request request, String attempt) throws Exception {
 		String path = request.headers().getOrDefault("hop-count", this.server.address() + "=0-" + Configuration.LAYERS);
+		List<String> stages = new ArrayList<>();
 		for (String part : path.split(",")) {
 			String address = part.substring(0, part.indexOf('='));
+			stages.add(address);
 			String[] layers = part.substring(part.indexOf('=') + 1).split("-");
 			Engine engine = RUNNING.get(address);
 			if (engine == null || !engine.holds(Integer.parseInt(layers[0]), Integer.parseInt(layers[1]))) {
@@ -294,6 +315,9 @@
 		int last = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
 		for (int event = last + 1; event <= EVENTS; event++) {
 			Thread.sleep(EVENT_MILLIS);
+			for (String address : stages) {
+				awaitVoiceOf(RUNNING.get(address));
+			}
 			String text = "id: " + event + "\ndata: " + attempt + "\n\n";
 			out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
 				.getBytes(StandardCharsets.ISO_8859_1));
@@ -304,6 +328,12 @@
 		return HttpServerStandIn.Answer.WRITTEN;
 	}
 
+	private static void awaitVoiceOf(Engine engine) throws InterruptedException {
+		if (engine != null) {
+			engine.awaitVoice();
+		}
+	}
+
 	// Sends lines of digits until the caller closes.
 	private void sendWithoutEnd(OutputStream out, String attempt) throws IOException {
 		byte[] bytes = ("5d41402abc4b2a76b9719d911017c592".repeat(4) + "\n\n").repeat(30)
