Log the position in the store with its era

No log line could tell whether a daemon missed changes because the store came back from an older copy, because following it again took too long, or because a version was taken for known.

Run: module tests of the parts touched, formatter, linter and Javadoc.

--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectHandler.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectHandler.java
@@ -17,6 +17,7 @@
 import org.mulberrycross.http.HttpMessages;
 import org.mulberrycross.http.Json;
 import org.mulberrycross.platform.ObjectPage;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.platform.http.ObjectMessages;
@@ -110,7 +111,8 @@
 	private void serveCollection(Request request, Response response) throws IOException {
 		Set<String> kinds = Set.of(request.getParameter("kinds").split(","));
 		if (request.getParameter("watch") != null) {
-			WatchResult result = this.table.watch(kinds, Long.parseLong(request.getParameter("watch")),
+			WatchResult result = this.table.watch(kinds,
+					StorePosition.of(Long.parseLong(request.getParameter("watch"))),
 					Duration.ofMillis(Long.parseLong(request.getParameter("timeout-ms"))));
 			HttpMessages.writeJson(response, 200,
 					new ObjectMessages.Changes(result.revision(),
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectTable.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectTable.java
@@ -14,6 +14,7 @@
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 
@@ -87,14 +88,14 @@
 	}
 
 	@Override
-	public synchronized WatchResult watch(Set<String> kinds, long afterRevision, Duration timeout) {
+	public synchronized WatchResult watch(Set<String> kinds, StorePosition after, Duration timeout) {
 		long deadlineNanos = System.nanoTime() + timeout.toNanos();
 		while (true) {
-			if (afterRevision < this.compactedRevision) {
+			if (after.revision() < this.compactedRevision) {
 				return new WatchResult(this.revision, List.of(), true);
 			}
 			List<ObjectChange> matching = this.changes.stream()
-				.filter((change) -> change.version() > afterRevision)
+				.filter((change) -> change.version() > after.revision())
 				.filter((change) -> kinds.contains(change.key().substring(0, change.key().indexOf('/'))))
 				.toList();
 			long remainingMillis = (deadlineNanos - System.nanoTime()) / 1_000_000;
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/service/CountingObjectStore.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/service/CountingObjectStore.java
@@ -10,6 +10,7 @@
 import org.mulberrycross.NotRunException;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.standins.platform.ObjectTable;
@@ -98,8 +99,8 @@
 	}
 
 	@Override
-	public WatchResult watch(Set<String> kinds, long afterRevision, Duration timeout) {
-		return this.table.watch(kinds, afterRevision, timeout);
+	public WatchResult watch(Set<String> kinds, StorePosition after, Duration timeout) {
+		return this.table.watch(kinds, after, timeout);
 	}
 
 	private OptionalLong recordWrite(OptionalLong version, int length) {
--- a/mulberrycross-standins/src/test/java/org/mulberrycross/platform/FaultyStore.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/FaultyStore.java
@@ -92,12 +92,12 @@
 	}
 
 	@Override
-	public WatchResult watch(Set<String> kinds, long afterRevision, Duration timeout) throws PeerException {
+	public WatchResult watch(Set<String> kinds, StorePosition after, Duration timeout) throws PeerException {
 		injectFault();
 		if (this.faultsEnabled && this.random.nextInt(100) == 0) {
-			return new WatchResult(afterRevision, List.of(), true);
+			return new WatchResult(after, List.of(), true);
 		}
-		return this.store.watch(kinds, afterRevision, Duration.ZERO);
+		return this.store.watch(kinds, after, Duration.ZERO);
 	}
 
 	@FunctionalInterface
--- a/mulberrycross-standins/src/test/java/org/mulberrycross/platform/ObjectStoreContractTest.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/ObjectStoreContractTest.java
@@ -87,7 +87,7 @@
 		store().create("model/m", json("1"));
 		long second = store().replace("team/a", json("2"), first).orElseThrow();
 		store().delete("team/a", second);
-		WatchResult result = store().watch(TEAM_KIND, startRevision, Duration.ofSeconds(5));
+		WatchResult result = store().watch(TEAM_KIND, StorePosition.of(startRevision), Duration.ofSeconds(5));
 		assertThat(result.changes().stream().map(ObjectChange::key).toList()).containsExactly("team/a", "team/a",
 				"team/a");
 		assertThat(result.changes().stream().map((change) -> change.object().isPresent()).toList())
@@ -101,7 +101,7 @@
 	@Test
 	void watchTimesOut() throws PeerException {
 		long first = store().create("team/a", json("1")).orElseThrow();
-		WatchResult result = store().watch(TEAM_KIND, first, Duration.ofMillis(20));
+		WatchResult result = store().watch(TEAM_KIND, StorePosition.of(first), Duration.ofMillis(20));
 		assertThat(result.changes()).isEmpty();
 		assertThat(result.revision()).isAtLeast(first);
 	}
--- a/mulberrycross-standins/src/test/java/org/mulberrycross/platform/http/HttpObjectStoreTest.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/http/HttpObjectStoreTest.java
@@ -17,6 +17,7 @@
 import org.mulberrycross.http.HttpListener;
 import org.mulberrycross.platform.ObjectStore;
 import org.mulberrycross.platform.ObjectStoreContractTest;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.standins.platform.FaultSwitches;
 import org.mulberrycross.standins.platform.ObjectHandler;
 import org.mulberrycross.standins.platform.ObjectTable;
@@ -93,7 +94,7 @@
 	@Test
 	void countsCalls() throws PeerException {
 		long version = this.store.create("team/a", VALUE).orElseThrow();
-		this.store.watch(Set.of("team"), version, Duration.ofMillis(30));
+		this.store.watch(Set.of("team"), StorePosition.of(version), Duration.ofMillis(30));
 		this.store.delete("team/a", version);
 		assertThat(this.faultSwitches.callCounts()).containsExactly("CREATE", 1L, "WATCH", 1L, "DELETE", 1L);
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpClient.java
@@ -145,8 +145,8 @@
 		StreamedExchange exchange = new StreamedExchange(call.maxReplyBytes(), deadlineNanos);
 		boolean reusable = false;
 		try {
-			int status = execute(connection, call, exchange, exchange.status(), deadlineNanos);
-			T result = reader.read(status, exchange.body());
+			HttpReply head = execute(connection, call, exchange, exchange.head(), deadlineNanos);
+			T result = reader.read(head, exchange.body());
 			reusable = exchange.body().skipRest() && !call.newConnection() && exchange.isKeepAlive();
 			return result;
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/HttpExchange.java
@@ -78,7 +78,7 @@
 	}
 
 	// Keys are in lower case. If a name occurs more than once, its last value is kept.
-	private static Map<String, String> toHeaderMap(MimeHeaders headers) {
+	static Map<String, String> toHeaderMap(MimeHeaders headers) {
 		Map<String, String> valuesByName = new HashMap<>();
 		for (int i = 0; i < headers.size(); i++) {
 			valuesByName.put(headers.getName(i).toString().toLowerCase(Locale.ROOT), headers.getValue(i).toString());
--- a/mulberrycross/src/main/java/org/mulberrycross/http/ReplyReader.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/ReplyReader.java
@@ -16,13 +16,13 @@
 
 	/**
 	 * Reads the body. What it leaves is skipped.
-	 * @param status the HTTP status code
+	 * @param head the status and the headers, without the body, not null
 	 * @param body the body, which blocks until more has arrived, not null
 	 * @return the result
 	 * @throws IncompleteReplyException if the body breaks off
 	 * @throws IOException if the content is not valid
 	 * @throws PeerException if the reply is not a success
 	 */
-	T read(int status, InputStream body) throws IOException, PeerException;
+	T read(HttpReply head, InputStream body) throws IOException, PeerException;
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/http/StreamedExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/StreamedExchange.java
@@ -12,7 +12,9 @@
  */
 final class StreamedExchange implements Exchange {
 
-	private final CompletableFuture<Integer> status = new CompletableFuture<>();
+	private static final byte[] NO_BODY = {};
+
+	private final CompletableFuture<HttpReply> head = new CompletableFuture<>();
 
 	private final ReplyBody body;
 
@@ -23,9 +25,10 @@
 		this.body = new ReplyBody(maxReplyBytes, deadlineNanos);
 	}
 
-	// Completes with the status code when the head of the response has arrived.
-	CompletableFuture<Integer> status() {
-		return this.status;
+	// Completes with the status and the headers when the head of the response has
+	// arrived.
+	CompletableFuture<HttpReply> head() {
+		return this.head;
 	}
 
 	ReplyBody body() {
@@ -43,22 +46,25 @@
 
 	@Override
 	public void handleContent(Connection<?> connection, HttpContent content) {
-		HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
+		HttpResponsePacket packet = (HttpResponsePacket) content.getHttpHeader();
 		if (content.getContent() != null && content.getContent().hasRemaining()) {
 			byte[] part = new byte[content.getContent().remaining()];
 			content.getContent().get(part);
 			this.body.add(connection, part);
 		}
 		if (content.isLast()) {
-			this.keepAlive = head.getProcessingState().isStayAlive();
+			this.keepAlive = packet.getProcessingState().isStayAlive();
 			this.body.end();
 		}
-		this.status.complete(head.getStatus());
+		if (!this.head.isDone()) {
+			this.head
+				.complete(new HttpReply(packet.getStatus(), HttpExchange.toHeaderMap(packet.getHeaders()), NO_BODY));
+		}
 	}
 
 	@Override
 	public void fail(Throwable cause) {
-		this.status.completeExceptionally(cause);
+		this.head.completeExceptionally(cause);
 		this.body.fail(new IncompleteReplyException("connection failed: " + cause.getMessage(), cause));
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/HeadWatch.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/HeadWatch.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 
 import org.mulberrycross.PeerException;
@@ -14,15 +15,14 @@
 
 	private static final Set<String> KINDS = Set.of(ConfigurationHead.KIND);
 
-	private static final long NOT_READ = -1;
-
 	private final ObjectStore store;
 
 	private final SnapshotSource source;
 
 	private final ConfigurationFollower follower;
 
-	private long revision = NOT_READ;
+	/** The position up to which changes are known, empty before the head is read. */
+	private Optional<StorePosition> position = Optional.empty();
 
 	/**
 	 * Creates a watch that reads the head at the first call of {@link #poll}.
@@ -43,17 +43,17 @@
 	 * the head has been replaced in the meantime; the next call then reads the head again
 	 */
 	public void poll(Duration wait) throws PeerException {
-		long afterRevision = this.revision;
-		this.revision = NOT_READ;
-		if (afterRevision == NOT_READ) {
+		Optional<StorePosition> after = this.position;
+		this.position = Optional.empty();
+		if (after.isEmpty()) {
 			ObjectPage page = this.store.list(KINDS, "", 1);
 			for (StoredObject object : page.objects()) {
 				this.follower.applyIfNewer(object.value(), this.source);
 			}
-			this.revision = page.revision();
+			this.position = Optional.of(page.position());
 			return;
 		}
-		WatchResult result = this.store.watch(KINDS, afterRevision, wait);
+		WatchResult result = this.store.watch(KINDS, after.get(), wait);
 		if (result.compacted()) {
 			return;
 		}
@@ -63,7 +63,7 @@
 				this.follower.applyIfNewer(last.object().get().value(), this.source);
 			}
 		}
-		this.revision = result.revision();
+		this.position = Optional.of(result.position());
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectMirror.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectMirror.java
@@ -43,7 +43,7 @@
 
 	private boolean listed;
 
-	private long revision;
+	private StorePosition position = StorePosition.of(0);
 
 	private long modificationCount;
 
@@ -70,7 +70,7 @@
 	 * @return the revision, 0 if nothing was read yet
 	 */
 	public long revision() {
-		return this.revision;
+		return this.position.revision();
 	}
 
 	/**
@@ -94,7 +94,7 @@
 			listAll();
 			return;
 		}
-		WatchResult result = this.store.watch(KINDS, this.revision, wait);
+		WatchResult result = this.store.watch(KINDS, this.position, wait);
 		if (result.compacted()) {
 			this.listed = false;
 			listAll();
@@ -110,7 +110,7 @@
 	private void listAll() throws PeerException {
 		TreeMap<String, OperatorEdit> listedEdits = new TreeMap<>();
 		ObjectPage page = this.store.list(KINDS, "", PAGE_SIZE);
-		long firstRevision = page.revision();
+		StorePosition first = page.position();
 		while (true) {
 			for (StoredObject object : page.objects()) {
 				listedEdits.put(object.key(), toEdit(object));
@@ -120,8 +120,8 @@
 			}
 			page = this.store.list(KINDS, listedEdits.lastKey(), PAGE_SIZE);
 		}
-		Optional<WatchResult> laterChanges = (page.revision() != firstRevision)
-				? Optional.of(this.store.watch(KINDS, firstRevision, CATCH_UP_WAIT)) : Optional.empty();
+		Optional<WatchResult> laterChanges = !page.position().equals(first)
+				? Optional.of(this.store.watch(KINDS, first, CATCH_UP_WAIT)) : Optional.empty();
 		// If the store has compacted the changes since the first page, the next refresh
 		// lists the objects again.
 		if (laterChanges.isPresent() && laterChanges.get().compacted()) {
@@ -129,7 +129,7 @@
 		}
 		this.edits.clear();
 		this.edits.putAll(listedEdits);
-		this.revision = firstRevision;
+		this.position = first;
 		this.modificationCount++;
 		laterChanges.ifPresent(this::applyChanges);
 		this.listed = true;
@@ -146,7 +146,9 @@
 							.orElseGet(() -> new OperatorEdit.Deleted(change.key(), change.version())));
 			}
 		}
-		this.revision = Math.max(this.revision, result.revision());
+		if (this.position.isCoveredBy(result.position())) {
+			this.position = result.position();
+		}
 	}
 
 	private OperatorEdit toEdit(StoredObject stored) {
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectStore.java
@@ -15,6 +15,15 @@
  */
 public interface ObjectStore {
 
+	/**
+	 * Returns the latest era that a response has named. The era of the response to a call
+	 * is known when the call returns.
+	 * @return the era, empty if the store names none
+	 */
+	default OptionalLong era() {
+		return OptionalLong.empty();
+	}
+
 	/**
 	 * Reads an object.
 	 * @param key the key, {@code kind/name}
@@ -77,11 +86,13 @@
 	/**
 	 * Waits for changes of objects.
 	 * @param kinds the kinds to watch, not empty
-	 * @param afterRevision the revision after which changes are returned
+	 * @param after the position after which changes are returned, not null; if the store
+	 * is in another era by then, the position of the result tells, and the changes are
+	 * those after the same revision of that era
 	 * @param timeout the maximum wait, positive
 	 * @return the changes, none if the timeout expired
 	 * @throws PeerException if the call fails
 	 */
-	WatchResult watch(Set<String> kinds, long afterRevision, Duration timeout) throws PeerException;
+	WatchResult watch(Set<String> kinds, StorePosition after, Duration timeout) throws PeerException;
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/http/HttpObjectStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/http/HttpObjectStore.java
@@ -22,6 +22,7 @@
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 
@@ -103,8 +104,8 @@
 	}
 
 	@Override
-	public WatchResult watch(Set<String> kinds, long afterRevision, Duration wait) throws PeerException {
-		String path = "/objects?kinds=" + joinKinds(kinds) + "&watch=" + afterRevision + "&timeout-ms="
+	public WatchResult watch(Set<String> kinds, StorePosition after, Duration wait) throws PeerException {
+		String path = "/objects?kinds=" + joinKinds(kinds) + "&watch=" + after.revision() + "&timeout-ms="
 				+ wait.toMillis();
 		HttpReply reply = requireSuccess(Step.WATCH, this.client
 			.send(HttpCall.get(Step.WATCH, this.peer, this.address, path, wait.plus(WATCH_REPLY_MARGIN))));
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
@@ -11,6 +11,7 @@
 import org.mulberrycross.Address;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.sibling.ChangesClient;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
@@ -54,7 +55,7 @@
 	}
 
 	@Override
-	public Optional<SiblingChanges> changesAfter(long revision, ClockReading confirmedAsOf, Duration trust) {
+	public Optional<SiblingChanges> changesAfter(StorePosition after, ClockReading confirmedAsOf, Duration trust) {
 		ClockReading sentAt = ClockReading.now(this.clock);
 		Optional<Address> address = this.hub.address(sentAt.monotonicNanos());
 		if (address.isEmpty()) {
@@ -66,19 +67,20 @@
 			return useStore("confirmation is too old");
 		}
 		try {
-			ChangesReply reply = this.client.request(address.get(), new ChangesQuery(this.kind, revision, wait),
+			ChangesReply reply = this.client.request(address.get(), new ChangesQuery(this.kind, after.revision(), wait),
 					timeout);
-			return evaluate(reply, address.get(), revision, sentAt);
+			return evaluate(reply, address.get(), after, sentAt);
 		}
 		catch (PeerException ex) {
 			return avoid(address.get(), ex.toString());
 		}
 	}
 
-	private Optional<SiblingChanges> evaluate(ChangesReply reply, Address address, long revision, ClockReading sentAt) {
+	private Optional<SiblingChanges> evaluate(ChangesReply reply, Address address, StorePosition after,
+			ClockReading sentAt) {
 		return switch (reply.status()) {
 			case KNOWN -> {
-				Optional<SiblingChanges> changes = SiblingChanges.of(reply, revision, sentAt,
+				Optional<SiblingChanges> changes = SiblingChanges.of(reply, after, sentAt,
 						ClockReading.now(this.clock));
 				if (changes.isEmpty()) {
 					yield avoid(address, "reply contradicts what is known");
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -20,6 +20,7 @@
 import org.mulberrycross.Supervisor;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 
@@ -136,17 +137,17 @@
 
 	private void run() {
 		boolean listed = false;
-		long revision = 0;
+		StorePosition position = StorePosition.of(0);
 		while (!isClosed()) {
 			try {
 				if (!listed) {
-					revision = list();
+					position = list();
 					listed = true;
 				}
-				Optional<WatchResult> heard = watchSibling(revision);
-				WatchResult result = heard.isPresent() ? heard.get() : watchStore(revision);
+				Optional<WatchResult> heard = watchSibling(position);
+				WatchResult result = heard.isPresent() ? heard.get() : watchStore(position);
 				listed = !result.compacted();
-				revision = result.revision();
+				position = result.position();
 			}
 			catch (PeerException ex) {
 				recordFailure(ex);
@@ -166,37 +167,42 @@
 		}
 	}
 
-	private long list() throws PeerException {
+	private StorePosition list() throws PeerException {
 		ClockReading sentAt = startCall();
 		ObjectPage all = listAll(this.store::list, this.kind);
 		recordSuccess();
 		this.confirmedAsOf = sentAt;
 		this.confirmedBySibling = false;
 		this.feed.restart(all.revision(), sentAt);
+		logger.atInfo()
+			.addKeyValue("kind", this.kind)
+			.addKeyValue("position", all.position())
+			.addKeyValue("objects", all.objects().size())
+			.log("objects listed");
 		this.listener.onListed(all.objects(), sentAt);
-		return all.revision();
+		return all.position();
 	}
 
-	// Lists the objects of all pages. Watching from the revision, which is that of the
+	// Lists the objects of all pages. Watching from the position, which is that of the
 	// first page, also returns changes that are made while further pages are read.
 	static ObjectPage listAll(PageReader reader, String kind) throws PeerException {
 		List<StoredObject> objects = new ArrayList<>();
 		ObjectPage page = reader.read(Set.of(kind), "", PAGE_SIZE);
-		long revision = page.revision();
+		StorePosition position = page.position();
 		objects.addAll(page.objects());
 		while (page.more() && !page.objects().isEmpty()) {
 			page = reader.read(Set.of(kind), page.objects().get(page.objects().size() - 1).name(), PAGE_SIZE);
 			objects.addAll(page.objects());
 		}
-		return new ObjectPage(revision, objects, false);
+		return new ObjectPage(position, objects, false);
 	}
 
 	// Asks a sibling unless the store is unavailable: its recovery is told by the store.
-	private Optional<WatchResult> watchSibling(long revision) {
+	private Optional<WatchResult> watchSibling(StorePosition position) {
 		if (!this.storeAvailable) {
 			return Optional.empty();
 		}
-		Optional<SiblingChanges> heard = this.siblingWatch.changesAfter(revision, this.confirmedAsOf,
+		Optional<SiblingChanges> heard = this.siblingWatch.changesAfter(position, this.confirmedAsOf,
 				this.timing.get().maxSiblingAge());
 		if (heard.isEmpty()) {
 			return Optional.empty();
@@ -210,21 +216,22 @@
 		this.confirmedBySibling = true;
 		this.metrics.countSiblingWatch(Duration.ofMillis(this.confirmedAsOf.ageMillis(now)));
 		WatchResult result = heard.get().result();
+		logChanges("sibling", position, result);
 		this.listener.onChanged(result.changes(), this.confirmedAsOf);
 		return Optional.of(result);
 	}
 
-	private WatchResult watchStore(long revision) throws PeerException {
+	private WatchResult watchStore(StorePosition position) throws PeerException {
 		ClockReading sentAt = startCall();
 		Duration timeout = nextWatchTimeout();
 		this.feed.startWatch(sentAt, timeout);
-		WatchResult result = this.store.watch(Set.of(this.kind), revision, timeout);
+		WatchResult result = this.store.watch(Set.of(this.kind), position, timeout);
 		recordSuccess();
 		if (result.compacted()) {
 			logger.atInfo()
 				.addKeyValue("kind", this.kind)
-				.addKeyValue("revision", revision)
-				.log("watch revision was compacted, listing again");
+				.addKeyValue("position", position)
+				.log("watch position was compacted, listing again");
 			return result;
 		}
 		boolean timedOut = (this.clock.nanos() - sentAt.monotonicNanos()) >= timeout.toNanos();
@@ -232,7 +239,8 @@
 		this.confirmedAsOf = (!changed && timedOut) ? sentAt.plus(timeout) : sentAt;
 		this.confirmedBySibling = false;
 		this.metrics.countStoreWatch();
-		this.feed.append(revision, result, this.confirmedAsOf);
+		this.feed.append(position.revision(), result, this.confirmedAsOf);
+		logChanges("store", position, result);
 		this.listener.onChanged(result.changes(), this.confirmedAsOf);
 		if (changed) {
 			pause(this.timing.get().batchDelay().toMillis());
@@ -240,6 +248,20 @@
 		return result;
 	}
 
+	// An answer without changes is logged only if it is from another era.
+	private void logChanges(String source, StorePosition before, WatchResult result) {
+		if (result.changes().isEmpty() && before.isSameEra(result.position())) {
+			return;
+		}
+		logger.atInfo()
+			.addKeyValue("kind", this.kind)
+			.addKeyValue("source", source)
+			.addKeyValue("before", before)
+			.addKeyValue("position", result.position())
+			.addKeyValue("changes", result.changes().size())
+			.log("changes read");
+	}
+
 	private ClockReading startCall() {
 		ClockReading now = ClockReading.now(this.clock);
 		this.callStartedNanos = now.monotonicNanos();
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestAdmission.java
@@ -115,7 +115,14 @@
 	// whether it did.
 	boolean apply(ServingConfiguration candidate) {
 		long currentVersion = this.configuration.map(ServingConfiguration::version).orElse(Long.MIN_VALUE);
-		if (candidate.version() <= currentVersion) {
+		if (candidate.version() < currentVersion) {
+			logger.atWarn()
+				.addKeyValue("version", candidate.version())
+				.addKeyValue("in_force", currentVersion)
+				.log("older configuration ignored");
+			return false;
+		}
+		if (candidate.version() == currentVersion) {
 			return false;
 		}
 		this.configuration = Optional.of(candidate);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingChanges.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingChanges.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.ChangesReply;
@@ -29,16 +30,17 @@
 	// revision goes back, a change is newer than the revision, or the confirmation is
 	// later than the reply. The query arrived at the sibling after it was sent, so the
 	// time of sending less the age is before the confirmation, whatever was delayed.
-	static Optional<SiblingChanges> of(ChangesReply reply, long afterRevision, ClockReading sentAt,
+	static Optional<SiblingChanges> of(ChangesReply reply, StorePosition after, ClockReading sentAt,
 			ClockReading receivedAt) {
 		boolean futureChange = reply.changes().stream().anyMatch((change) -> change.version() > reply.revision());
 		ClockReading confirmedAsOf = sentAt.plus(Duration.ofMillis(-reply.ageMillis()));
 		boolean futureConfirmation = confirmedAsOf.monotonicNanos() - receivedAt.monotonicNanos() > 0;
-		if (reply.revision() < afterRevision || futureChange || futureConfirmation) {
+		if (reply.revision() < after.revision() || futureChange || futureConfirmation) {
 			return Optional.empty();
 		}
 		List<ObjectChange> changes = reply.changes().stream().map(SiblingChanges::toObjectChange).toList();
-		return Optional.of(new SiblingChanges(new WatchResult(reply.revision(), changes, false), confirmedAsOf));
+		return Optional.of(new SiblingChanges(new WatchResult(after.withRevision(reply.revision()), changes, false),
+				confirmedAsOf));
 	}
 
 	private static ObjectChange toObjectChange(SharedChange change) {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/HubWatchTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/HubWatchTest.java
@@ -14,6 +14,7 @@
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
 import org.mulberrycross.sibling.ChangesReply.Status;
@@ -49,7 +50,7 @@
 
 	private boolean hears(Duration age) {
 		ClockReading confirmedAsOf = ClockReading.now(() -> this.nowNanos - age.toNanos());
-		return this.watch.changesAfter(7, confirmedAsOf, TRUST).isPresent();
+		return this.watch.changesAfter(StorePosition.of(7), confirmedAsOf, TRUST).isPresent();
 	}
 
 	/** Fails if a query outlasts the age by which the store must be asked. */
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -29,6 +29,7 @@
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.DataCentreHub;
@@ -79,8 +80,8 @@
 
 	// Records the query and returns the next reply; one with revision 0 stands for none.
 	private SiblingWatch siblings(BlockingQueue<WatchResult> replies) {
-		return (revision, confirmedAsOf, trust) -> {
-			this.calls.add("ask sibling after " + revision);
+		return (after, confirmedAsOf, trust) -> {
+			this.calls.add("ask sibling after " + after.revision());
 			WatchResult reply = replies.poll();
 			return Optional.ofNullable(reply)
 				.filter((known) -> known.revision() > 0)
@@ -369,8 +370,8 @@
 		}
 
 		@Override
-		public WatchResult watch(Set<String> kinds, long afterRevision, Duration timeout) throws PeerException {
-			KindWatcherTest.this.calls.add("watch " + afterRevision + " for " + timeout.toMillis());
+		public WatchResult watch(Set<String> kinds, StorePosition after, Duration timeout) throws PeerException {
+			KindWatcherTest.this.calls.add("watch " + after.revision() + " for " + timeout.toMillis());
 			try {
 				WatchResult result = this.results.take();
 				if (result.revision() == 0) {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RouterMembershipTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RouterMembershipTest.java
@@ -14,6 +14,7 @@
 import org.mulberrycross.Address;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.Sibling;
@@ -104,7 +105,7 @@
 		}
 
 		@Override
-		public WatchResult watch(Set<String> kinds, long afterRevision, Duration timeout) {
+		public WatchResult watch(Set<String> kinds, StorePosition after, Duration timeout) {
 			throw new UnsupportedOperationException();
 		}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/SiblingChangesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/SiblingChangesTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.sibling.ChangesReply;
 import org.mulberrycross.sibling.SharedChange;
 
@@ -26,7 +27,7 @@
 
 	private static Optional<SiblingChanges> evaluate(long revision, long ageMillis, SharedChange... changes) {
 		return SiblingChanges.of(new ChangesReply(ChangesReply.Status.KNOWN, revision, ageMillis, List.of(changes)),
-				AFTER, at(5000), at(6000));
+				StorePosition.of(AFTER), at(5000), at(6000));
 	}
 
 	/**
