Fix daemons that miss changes after the store came back from an older copy

Callers saw a confirmed configuration not in force for good: keys that were taken away were accepted, moved routes ran on the old service, new ones were answered 404.

Cause: a position in the store was a bare revision. The store gives revisions out again when it comes back from a copy; a watch from one that it has given out again is not answered 410, and all that was written below it was missed. A sibling with a higher revision of the former era was also taken for one that knows more and confirmed as current by its hub. Class of fault: a revision is trusted without the era that it belongs to.

Now a watch whose response is from another era lists again; a list whose pages come from two eras fails; a hub answers queries from another era with 409 and its position, upon which the sibling lists once at the store; replies of another era or of none are not believed. A daemon that leaves its hub makes one short watch first, since a store that came back says so only at the end of a watch if nothing changes. Without Store-Era all stays as it was.

Side by side with the former build: the query gains the parameter era and the reply the field era, which it ignores; it never gets 409; its queries without an era are answered 410, which sends it to the store; its replies without an era are not believed.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
@@ -14,6 +14,7 @@
 
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.ChangeSource;
@@ -66,11 +67,11 @@
 	}
 
 	// Starts at a list of all objects read from the store.
-	void restart(long revision, ClockReading asOf) {
+	void restart(StorePosition position, ClockReading asOf) {
 		List<Answer> answers;
 		synchronized (this) {
 			this.storeAvailable = true;
-			this.log.restart(revision, asOf);
+			this.log.restart(position, asOf);
 			answers = answerWaiting();
 		}
 		answers.forEach(Answer::send);
@@ -83,16 +84,16 @@
 
 	// Adds the result of a watch of the store. Changes are kept only while siblings
 	// follow.
-	void append(long afterRevision, WatchResult result, ClockReading asOf) {
+	void append(StorePosition after, WatchResult result, ClockReading asOf) {
 		List<Answer> answers;
 		synchronized (this) {
 			this.storeAvailable = true;
 			this.nextConfirmationNanos = OptionalLong.empty();
 			if (result.changes().isEmpty() || followerCount() > 0) {
-				this.log.append(afterRevision, result, asOf);
+				this.log.append(after, result, asOf);
 			}
 			else {
-				this.log.restart(result.revision(), asOf);
+				this.log.restart(result.position(), asOf);
 			}
 			answers = answerWaiting();
 		}
@@ -158,15 +159,24 @@
 		if (!this.log.isKnown()) {
 			return Optional.of(ChangesReply.of(ChangesReply.Status.NOT_FOLLOWED));
 		}
-		if (query.afterRevision() >= this.log.revision()) {
+		if (!this.log.position().isSameEra(query.after())) {
+			return Optional.of(otherEraReply(query));
+		}
+		if (this.log.position().isCoveredBy(query.after())) {
 			return Optional.empty();
 		}
-		return Optional.of(this.log.changesAfter(query.afterRevision())
+		return Optional.of(this.log.changesAfter(query.after())
 			.filter((changes) -> byteCount(changes) <= MAX_REPLY_BYTES)
 			.map((changes) -> knownReply(query, changes))
 			.orElse(ChangesReply.of(ChangesReply.Status.NOT_COVERED)));
 	}
 
+	// A build that names no era in its queries does not know this status either.
+	private ChangesReply otherEraReply(Waiting query) {
+		return query.after().era().isPresent() ? ChangesReply.otherEra(this.log.position())
+				: ChangesReply.of(ChangesReply.Status.NOT_COVERED);
+	}
+
 	private static long byteCount(List<ObjectChange> changes) {
 		return changes.stream()
 			.flatMap((change) -> change.object().stream())
@@ -177,8 +187,9 @@
 	// The age is rounded up, since the arithmetic of milliseconds rounds it down.
 	private ChangesReply knownReply(Waiting query, List<ObjectChange> changes) {
 		long ageMillis = this.log.confirmedAsOf().orElseThrow().ageMillis(query.arrivedAt()) + 1;
-		return new ChangesReply(ChangesReply.Status.KNOWN, Math.max(this.log.revision(), query.afterRevision()),
-				ageMillis, changes.stream().map(ChangeFeed::toSharedChange).toList());
+		StorePosition known = this.log.position().isCoveredBy(query.after()) ? query.after() : this.log.position();
+		return new ChangesReply(ChangesReply.Status.KNOWN, known, ageMillis,
+				changes.stream().map(ChangeFeed::toSharedChange).toList());
 	}
 
 	private static SharedChange toSharedChange(ObjectChange change) {
@@ -218,8 +229,8 @@
 			this.arrivedAt = arrivedAt;
 		}
 
-		private long afterRevision() {
-			return this.query.afterRevision();
+		private StorePosition after() {
+			return this.query.after();
 		}
 
 		private Duration maxWait() {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeLog.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 
 import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.WatchResult;
 
 /**
@@ -30,18 +31,18 @@
 
 	private long byteCount;
 
-	/** The revision from which on changes are known. */
+	/** The revision from which on changes are known, in the era of the position. */
 	private long startRevision;
 
-	private long revision;
+	private StorePosition position = StorePosition.of(0);
 
 	private Optional<ClockReading> confirmedAsOf = Optional.empty();
 
-	// Starts at a revision of the store, without the changes before it.
-	void restart(long atRevision, ClockReading asOf) {
+	// Starts at a position of the store, without the changes before it.
+	void restart(StorePosition start, ClockReading asOf) {
 		clear();
-		this.startRevision = atRevision;
-		this.revision = atRevision;
+		this.startRevision = start.revision();
+		this.position = start;
 		this.confirmedAsOf = Optional.of(asOf);
 	}
 
@@ -53,11 +54,13 @@
 		this.confirmedAsOf = Optional.empty();
 	}
 
-	// Adds the result of a watch that began after a revision, and the time up to which it
-	// is known to be complete. The log starts there if it does not end there.
-	void append(long afterRevision, WatchResult result, ClockReading asOf) {
-		if (!isKnown() || afterRevision != this.revision || result.revision() < afterRevision) {
-			restart(Math.min(afterRevision, result.revision()), asOf);
+	// Adds the result of a watch that began after a position of the same era, and the
+	// time
+	// up to which it is known to be complete. The log starts there if it does not end
+	// there.
+	void append(StorePosition after, WatchResult result, ClockReading asOf) {
+		if (!isKnown() || !after.equals(this.position) || !after.isCoveredBy(result.position())) {
+			restart(result.position().withRevision(Math.min(after.revision(), result.revision())), asOf);
 		}
 		if (!result.changes().isEmpty()) {
 			Batch batch = Batch.of(result);
@@ -65,7 +68,7 @@
 			this.changeCount += batch.changes().size();
 			this.byteCount += batch.bytes();
 		}
-		this.revision = result.revision();
+		this.position = result.position();
 		this.confirmedAsOf = Optional.of(asOf);
 		while (this.batches.size() > 1 && (this.changeCount > MAX_CHANGES || this.byteCount > MAX_BYTES)) {
 			Batch dropped = this.batches.remove();
@@ -79,8 +82,8 @@
 		return this.confirmedAsOf.isPresent();
 	}
 
-	long revision() {
-		return this.revision;
+	StorePosition position() {
+		return this.position;
 	}
 
 	// Returns the time up to which the changes are known to be complete, empty if nothing
@@ -89,11 +92,12 @@
 		return this.confirmedAsOf;
 	}
 
-	// Returns the changes after a revision, empty if they are not all known.
-	Optional<List<ObjectChange>> changesAfter(long afterRevision) {
-		if (!isKnown() || afterRevision < this.startRevision || afterRevision > this.revision) {
+	// Returns the changes after a position, empty if they are not all known.
+	Optional<List<ObjectChange>> changesAfter(StorePosition after) {
+		if (!isKnown() || !after.isCoveredBy(this.position) || after.revision() < this.startRevision) {
 			return Optional.empty();
 		}
+		long afterRevision = after.revision();
 		List<ObjectChange> changes = new ArrayList<>();
 		for (Batch batch : this.batches) {
 			if (batch.toRevision() > afterRevision) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashEventSharing.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashEventSharing.java
@@ -225,6 +225,11 @@
 		}
 	}
 
+	@Override
+	public void onStoreRestored() {
+		// The events known so far stay in force.
+	}
+
 	@Override
 	public void onStoreUnavailable() {
 		// The events known so far stay in force.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -306,6 +306,11 @@
 			this.kind = kind;
 		}
 
+		@Override
+		public void onStoreRestored() {
+			// What is listed next is applied as after an outage.
+		}
+
 		@Override
 		public void onStoreUnavailable() {
 			Gateway.this.controlThread
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
@@ -42,6 +42,9 @@
 
 	private final MonotonicClock clock;
 
+	/** The last position that a hub in a later era did not know, empty at first. */
+	private Optional<StorePosition> outdated = Optional.empty();
+
 	/** The last source in the log, empty for the store. */
 	private Optional<Address> source = Optional.empty();
 
@@ -67,8 +70,7 @@
 			return useStore("confirmation is too old");
 		}
 		try {
-			ChangesReply reply = this.client.request(address.get(), new ChangesQuery(this.kind, after.revision(), wait),
-					timeout);
+			ChangesReply reply = this.client.request(address.get(), new ChangesQuery(this.kind, after, wait), timeout);
 			return evaluate(reply, address.get(), after, sentAt);
 		}
 		catch (PeerException ex) {
@@ -88,11 +90,31 @@
 				logSource(Optional.of(address), "hub knows the changes");
 				yield changes;
 			}
+			case OTHER_ERA -> evaluateOtherEra(reply.position(), address, after, sentAt);
 			case STORE_UNAVAILABLE -> avoid(address, "the store does not answer the hub");
 			default -> useStore("hub replied " + reply.status());
 		};
 	}
 
+	// A hub in a later era has learned from the store that it came back from a copy. The
+	// daemon lists once; if the store then names the former era, the hub is not believed.
+	private Optional<SiblingChanges> evaluateOtherEra(StorePosition reached, Address address, StorePosition after,
+			ClockReading sentAt) {
+		if (!reached.isLaterEra(after)) {
+			return useStore("hub is in another era, at " + reached);
+		}
+		if (this.outdated.filter(after::isSameEra).isPresent()) {
+			return avoid(address, "the store does not confirm the era of the hub");
+		}
+		this.outdated = Optional.of(after);
+		logger.atInfo()
+			.addKeyValue("kind", this.kind)
+			.addKeyValue("position", after)
+			.addKeyValue("hub_position", reached)
+			.log("hub is in a later era, listing again");
+		return Optional.of(SiblingChanges.outdated(after, sentAt));
+	}
+
 	private Optional<SiblingChanges> avoid(Address address, String reason) {
 		this.hub.recordFailure(address, this.clock.nanos());
 		return useStore(reason);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindListener.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindListener.java
@@ -25,6 +25,13 @@
 	 */
 	void onChanged(List<ObjectChange> changes, ClockReading asOf);
 
+	/**
+	 * Called before {@link #onListed} if the store has come back from an older copy since
+	 * the last call. What was written in the seconds before is gone, and its writers
+	 * write it again.
+	 */
+	void onStoreRestored();
+
 	/** Called when the store becomes unavailable. */
 	void onStoreUnavailable();
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -16,7 +16,9 @@
 
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.OutcomeUnknownException;
+import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.Step;
 import org.mulberrycross.Supervisor;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
@@ -110,6 +112,11 @@
 	/** The monotonic time in nanoseconds at which the last call began. */
 	private long callStartedNanos;
 
+	/**
+	 * The position up to which the objects are known, meaningless before the first list.
+	 */
+	private StorePosition position = StorePosition.of(0);
+
 	private ClockReading confirmedAsOf;
 
 	/** Whether the last confirmation came from a sibling. */
@@ -137,17 +144,16 @@
 
 	private void run() {
 		boolean listed = false;
-		StorePosition position = StorePosition.of(0);
 		while (!isClosed()) {
 			try {
 				if (!listed) {
-					position = list();
+					list();
 					listed = true;
 				}
-				Optional<WatchResult> heard = watchSibling(position);
-				WatchResult result = heard.isPresent() ? heard.get() : watchStore(position);
+				Optional<WatchResult> heard = watchSibling();
+				WatchResult result = heard.isPresent() ? heard.get() : watchStore();
 				listed = !result.compacted();
-				position = result.position();
+				this.position = result.position();
 			}
 			catch (PeerException ex) {
 				recordFailure(ex);
@@ -167,46 +173,58 @@
 		}
 	}
 
-	private StorePosition list() throws PeerException {
+	private void list() throws PeerException {
 		ClockReading sentAt = startCall();
 		ObjectPage all = listAll(this.store::list, this.kind);
 		recordSuccess();
+		if (all.position().isLaterEra(this.position)) {
+			this.metrics.countEra();
+			this.listener.onStoreRestored();
+		}
+		this.position = all.position();
 		this.confirmedAsOf = sentAt;
 		this.confirmedBySibling = false;
-		this.feed.restart(all.revision(), sentAt);
+		this.feed.restart(all.position(), sentAt);
 		logger.atInfo()
 			.addKeyValue("kind", this.kind)
 			.addKeyValue("position", all.position())
 			.addKeyValue("objects", all.objects().size())
 			.log("objects listed");
 		this.listener.onListed(all.objects(), sentAt);
-		return all.position();
 	}
 
 	// Lists the objects of all pages. Watching from the position, which is that of the
-	// first page, also returns changes that are made while further pages are read.
+	// first page, also returns changes that are made while further pages are read. Fails
+	// if the pages come from two eras, since the objects of the first ones may be lost.
 	static ObjectPage listAll(PageReader reader, String kind) throws PeerException {
 		List<StoredObject> objects = new ArrayList<>();
 		ObjectPage page = reader.read(Set.of(kind), "", PAGE_SIZE);
-		StorePosition position = page.position();
+		StorePosition first = page.position();
 		objects.addAll(page.objects());
 		while (page.more() && !page.objects().isEmpty()) {
 			page = reader.read(Set.of(kind), page.objects().get(page.objects().size() - 1).name(), PAGE_SIZE);
+			if (!page.position().isSameEra(first)) {
+				throw new PeerException(Step.READ_OBJECT, new Peer(Peer.Kind.PLATFORM, ""),
+						"pages of kind " + kind + " come from two eras: " + first + ", " + page.position());
+			}
 			objects.addAll(page.objects());
 		}
-		return new ObjectPage(position, objects, false);
+		return new ObjectPage(first, objects, false);
 	}
 
 	// Asks a sibling unless the store is unavailable: its recovery is told by the store.
-	private Optional<WatchResult> watchSibling(StorePosition position) {
+	private Optional<WatchResult> watchSibling() {
 		if (!this.storeAvailable) {
 			return Optional.empty();
 		}
-		Optional<SiblingChanges> heard = this.siblingWatch.changesAfter(position, this.confirmedAsOf,
+		Optional<SiblingChanges> heard = this.siblingWatch.changesAfter(this.position, this.confirmedAsOf,
 				this.timing.get().maxSiblingAge());
 		if (heard.isEmpty()) {
 			return Optional.empty();
 		}
+		if (heard.get().result().compacted()) {
+			return heard.map(SiblingChanges::result);
+		}
 		this.feed.stopFollowingStore();
 		ClockReading now = ClockReading.now(this.clock);
 		ClockReading heardAsOf = heard.get().confirmedAsOf();
@@ -216,31 +234,37 @@
 		this.confirmedBySibling = true;
 		this.metrics.countSiblingWatch(Duration.ofMillis(this.confirmedAsOf.ageMillis(now)));
 		WatchResult result = heard.get().result();
-		logChanges("sibling", position, result);
+		logChanges("sibling", result);
 		this.listener.onChanged(result.changes(), this.confirmedAsOf);
 		return Optional.of(result);
 	}
 
-	private WatchResult watchStore(StorePosition position) throws PeerException {
+	private WatchResult watchStore() throws PeerException {
 		ClockReading sentAt = startCall();
 		Duration timeout = nextWatchTimeout();
 		this.feed.startWatch(sentAt, timeout);
-		WatchResult result = this.store.watch(Set.of(this.kind), position, timeout);
+		WatchResult result = this.store.watch(Set.of(this.kind), this.position, timeout);
 		recordSuccess();
 		if (result.compacted()) {
 			logger.atInfo()
 				.addKeyValue("kind", this.kind)
-				.addKeyValue("position", position)
+				.addKeyValue("position", this.position)
 				.log("watch position was compacted, listing again");
-			return result;
+			return new WatchResult(this.position, List.of(), true);
+		}
+		// Revisions of two eras can't be compared: changes may be missing, whatever the
+		// store has returned.
+		if (!result.position().isSameEra(this.position)) {
+			logChanges("store", result);
+			return new WatchResult(this.position, List.of(), true);
 		}
 		boolean timedOut = (this.clock.nanos() - sentAt.monotonicNanos()) >= timeout.toNanos();
 		boolean changed = !result.changes().isEmpty();
 		this.confirmedAsOf = (!changed && timedOut) ? sentAt.plus(timeout) : sentAt;
 		this.confirmedBySibling = false;
 		this.metrics.countStoreWatch();
-		this.feed.append(position.revision(), result, this.confirmedAsOf);
-		logChanges("store", position, result);
+		this.feed.append(this.position, result, this.confirmedAsOf);
+		logChanges("store", result);
 		this.listener.onChanged(result.changes(), this.confirmedAsOf);
 		if (changed) {
 			pause(this.timing.get().batchDelay().toMillis());
@@ -249,14 +273,14 @@
 	}
 
 	// An answer without changes is logged only if it is from another era.
-	private void logChanges(String source, StorePosition before, WatchResult result) {
-		if (result.changes().isEmpty() && before.isSameEra(result.position())) {
+	private void logChanges(String source, WatchResult result) {
+		if (result.changes().isEmpty() && this.position.isSameEra(result.position())) {
 			return;
 		}
 		logger.atInfo()
 			.addKeyValue("kind", this.kind)
 			.addKeyValue("source", source)
-			.addKeyValue("before", before)
+			.addKeyValue("before", this.position)
 			.addKeyValue("position", result.position())
 			.addKeyValue("changes", result.changes().size())
 			.log("changes read");
@@ -272,6 +296,12 @@
 		if (!this.storeAvailable) {
 			return UNAVAILABLE_WATCH_TIMEOUT;
 		}
+		// A hub that is lost may have been lost with the store. A store that came back
+		// from
+		// a copy says so only at the end of the watch, if nothing changes.
+		if (this.confirmedBySibling && this.position.era().isPresent()) {
+			return UNAVAILABLE_WATCH_TIMEOUT;
+		}
 		WatchTiming current = this.timing.get();
 		// After a sibling has failed, the time until a silent connection to the store is
 		// noticed counts from the last confirmation as well.
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingChanges.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingChanges.java
@@ -26,21 +26,30 @@
 		Objects.requireNonNull(confirmedAsOf, "confirmedAsOf");
 	}
 
-	// Returns the changes of a reply, or empty if it contradicts what is known: the
-	// revision goes back, a change is newer than the revision, or the confirmation is
+	// Returns the changes of a reply, or empty if it contradicts what is known: it is
+	// from
+	// another era of the store, or from a build that names none, the revision goes back,
+	// a change is newer than the revision, or the confirmation is
 	// later than the reply. The query arrived at the sibling after it was sent, so the
 	// time of sending less the age is before the confirmation, whatever was delayed.
 	static Optional<SiblingChanges> of(ChangesReply reply, StorePosition after, ClockReading sentAt,
 			ClockReading receivedAt) {
-		boolean futureChange = reply.changes().stream().anyMatch((change) -> change.version() > reply.revision());
+		boolean futureChange = reply.changes()
+			.stream()
+			.anyMatch((change) -> change.version() > reply.position().revision());
 		ClockReading confirmedAsOf = sentAt.plus(Duration.ofMillis(-reply.ageMillis()));
 		boolean futureConfirmation = confirmedAsOf.monotonicNanos() - receivedAt.monotonicNanos() > 0;
-		if (reply.revision() < after.revision() || futureChange || futureConfirmation) {
+		if (!after.isCoveredBy(reply.position()) || futureChange || futureConfirmation) {
 			return Optional.empty();
 		}
 		List<ObjectChange> changes = reply.changes().stream().map(SiblingChanges::toObjectChange).toList();
-		return Optional.of(new SiblingChanges(new WatchResult(after.withRevision(reply.revision()), changes, false),
-				confirmedAsOf));
+		return Optional.of(new SiblingChanges(new WatchResult(reply.position(), changes, false), confirmedAsOf));
+	}
+
+	// Returns that the objects must be listed again, since the position is from an era of
+	// the store that has ended.
+	static SiblingChanges outdated(StorePosition position, ClockReading asOf) {
+		return new SiblingChanges(new WatchResult(position, List.of(), true), asOf);
 	}
 
 	private static ObjectChange toObjectChange(SharedChange change) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchMetrics.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/WatchMetrics.java
@@ -17,11 +17,19 @@
 	/** The age of the confirmation when a sibling had answered. */
 	private final Timer siblingWatches;
 
+	/** How often the store came back from an older copy. */
+	private final Counter eras;
+
 	WatchMetrics(MetricRegistry registry, String kind) {
 		this.storeWatches = registry.counter("watches." + kind + ".store");
+		this.eras = registry.counter("watches." + kind + ".eras");
 		this.siblingWatches = registry.timer("watches." + kind + ".sibling");
 	}
 
+	void countEra() {
+		this.eras.inc();
+	}
+
 	void countStoreWatch() {
 		this.storeWatches.inc();
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesReply.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesReply.java
@@ -3,26 +3,30 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.mulberrycross.platform.StorePosition;
+
 /**
  * Reply of a sibling to a {@link ChangesQuery}. Immutable and thread-safe.
  *
  * @param status whether the changes are known, not null
- * @param revision the revision of the store up to which the changes are known
+ * @param position the position of the store up to which the changes are known; if the
+ * status is {@link Status#OTHER_ERA}, that which the sibling has reached; not null
  * @param ageMillis the time from the moment up to which they are confirmed by the store
  * to the arrival of the query, rounded up; negative if they were confirmed later
  * @param changes the changes in order, empty if nothing changed, not null
  */
-public record ChangesReply(Status status, long revision, long ageMillis, List<SharedChange> changes) {
+public record ChangesReply(Status status, StorePosition position, long ageMillis, List<SharedChange> changes) {
 
 	/**
 	 * Creates a reply.
 	 * @param status whether the changes are known, not null
-	 * @param revision the revision up to which the changes are known
+	 * @param position the position up to which the changes are known, not null
 	 * @param ageMillis the age of the confirmation when the query arrived
 	 * @param changes the changes in order, not null
 	 */
 	public ChangesReply {
 		Objects.requireNonNull(status, "status");
+		Objects.requireNonNull(position, "position");
 		changes = List.copyOf(changes);
 	}
 
@@ -32,7 +36,16 @@
 	 * @return the reply
 	 */
 	public static ChangesReply of(Status status) {
-		return new ChangesReply(status, 0, 0, List.of());
+		return new ChangesReply(status, StorePosition.of(0), 0, List.of());
+	}
+
+	/**
+	 * Creates a reply to a query from another era of the store.
+	 * @param position the position that the sibling has reached, not null
+	 * @return the reply
+	 */
+	public static ChangesReply otherEra(StorePosition position) {
+		return new ChangesReply(Status.OTHER_ERA, position, 0, List.of());
 	}
 
 	/** Whether a sibling knows the changes. */
@@ -50,6 +63,11 @@
 		/** The sibling no longer has the changes since the revision. */
 		NOT_COVERED,
 
+		/**
+		 * The position of the query is from another era of the store than the sibling's.
+		 */
+		OTHER_ERA,
+
 		/** The next confirmation is expected too late, or too many queries wait. */
 		BUSY,
 
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesCodec.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesCodec.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -15,6 +16,7 @@
 import org.mulberrycross.Step;
 import org.mulberrycross.http.HttpReply;
 import org.mulberrycross.http.Json;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
 import org.mulberrycross.sibling.SharedChange;
@@ -39,7 +41,8 @@
 
 	private static final Map<ChangesReply.Status, Integer> STATUS_CODES = Map.of(ChangesReply.Status.KNOWN, STATUS_OK,
 			ChangesReply.Status.NOT_LISTED, 403, ChangesReply.Status.NOT_FOLLOWED, 404, ChangesReply.Status.NOT_COVERED,
-			410, ChangesReply.Status.BUSY, 429, ChangesReply.Status.STORE_UNAVAILABLE, 503);
+			410, ChangesReply.Status.OTHER_ERA, 409, ChangesReply.Status.BUSY, 429,
+			ChangesReply.Status.STORE_UNAVAILABLE, 503);
 
 	private ChangesCodec() {
 	}
@@ -52,8 +55,12 @@
 	 */
 	public static String encodeQuery(ChangesQuery query, String sender) {
 		return PATH + "?kind=" + URLEncoder.encode(query.kind(), StandardCharsets.UTF_8) + "&after="
-				+ query.afterRevision() + "&wait_ms=" + query.maxWait().toMillis() + "&from="
-				+ URLEncoder.encode(sender, StandardCharsets.UTF_8);
+				+ query.after().revision() + encodeEra(query.after().era()) + "&wait_ms=" + query.maxWait().toMillis()
+				+ "&from=" + URLEncoder.encode(sender, StandardCharsets.UTF_8);
+	}
+
+	private static String encodeEra(OptionalLong era) {
+		return era.isPresent() ? "&era=" + era.getAsLong() : "";
 	}
 
 	/**
@@ -67,7 +74,9 @@
 			String kind = URLDecoder.decode(parameters.getOrDefault("kind", ""), StandardCharsets.UTF_8);
 			long after = Long.parseLong(parameters.getOrDefault("after", ""));
 			int waitMillis = Integer.parseInt(parameters.getOrDefault("wait_ms", ""));
-			return Optional.of(new ChangesQuery(kind, after, Duration.ofMillis(waitMillis)));
+			OptionalLong era = parameters.containsKey("era") ? OptionalLong.of(Long.parseLong(parameters.get("era")))
+					: OptionalLong.empty();
+			return Optional.of(new ChangesQuery(kind, new StorePosition(era, after), Duration.ofMillis(waitMillis)));
 		}
 		catch (IllegalArgumentException ex) {
 			return Optional.empty();
@@ -105,8 +114,8 @@
 	}
 
 	static byte[] encodeBody(ChangesReply reply) {
-		return Json
-			.encode(new Body(OptionalLong.of(reply.revision()), OptionalLong.of(reply.ageMillis()), reply.changes()));
+		return Json.encode(new Body(reply.position().era(), OptionalLong.of(reply.position().revision()),
+				OptionalLong.of(reply.ageMillis()), reply.changes()));
 	}
 
 	static ChangesReply decode(HttpReply reply, String kind, Peer peer) throws PeerException {
@@ -116,7 +125,7 @@
 			.map(Map.Entry::getKey)
 			.findFirst()
 			.orElseThrow(() -> invalid(peer, "status " + reply.status()));
-		if (status != ChangesReply.Status.KNOWN) {
+		if (status != ChangesReply.Status.KNOWN && status != ChangesReply.Status.OTHER_ERA) {
 			return ChangesReply.of(status);
 		}
 		Body body = Json.decode(reply.body(), Body.class, peer);
@@ -130,15 +139,19 @@
 		if (body.changes().stream().anyMatch((change) -> change == null || !change.key().startsWith(kind + "/"))) {
 			throw invalid(peer, "a change without a key of kind " + kind);
 		}
-		return new ChangesReply(status, body.revision().getAsLong(), body.ageMs().getAsLong(), body.changes());
+		StorePosition position = new StorePosition(Objects.requireNonNullElse(body.era(), OptionalLong.empty()),
+				body.revision().getAsLong());
+		return new ChangesReply(status, position, body.ageMs().getAsLong(), body.changes());
 	}
 
 	private static PeerException invalid(Peer peer, String reason) {
 		return new PeerException(Step.CODEC, peer, "reply with changes has " + reason);
 	}
 
-	/** The body of a reply. */
-	private record Body(OptionalLong revision, OptionalLong ageMs, List<SharedChange> changes) {
+	/**
+	 * The body of a reply. Builds before eras do not send the era and ignore it.
+	 */
+	private record Body(OptionalLong era, OptionalLong revision, OptionalLong ageMs, List<SharedChange> changes) {
 
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeFeedTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeFeedTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.ChangesQuery;
@@ -37,6 +38,10 @@
 	}
 
 	private Runnable ask(long after) {
+		return ask(StorePosition.of(after));
+	}
+
+	private Runnable ask(StorePosition after) {
 		return this.feed.request(new ChangesQuery("servers", after, WAIT), this.replies::add);
 	}
 
@@ -47,11 +52,11 @@
 	/** Fails if a change reaches those that wait only at the end of their wait. */
 	@Test
 	void changeAnswersAllThatWait() {
-		this.feed.restart(10, now());
+		this.feed.restart(StorePosition.of(10), now());
 		ask(10);
 		ask(11);
 		assertThat(this.replies).isEmpty();
-		this.feed.append(10, CHANGE, now());
+		this.feed.append(StorePosition.of(10), CHANGE, now());
 		assertThat(statuses()).containsExactly(Status.KNOWN, Status.KNOWN);
 		assertThat(this.replies.get(0).changes()).hasSize(1);
 		assertThat(this.feed.followerCount()).isEqualTo(2);
@@ -63,17 +68,17 @@
 	 */
 	@Test
 	void confirmsToSiblingWithLaterRevision() {
-		this.feed.restart(10, now());
+		this.feed.restart(StorePosition.of(10), now());
 		ask(15);
-		this.feed.append(10, CHANGE, now());
-		assertThat(this.replies.get(0).revision()).isEqualTo(15);
+		this.feed.append(StorePosition.of(10), CHANGE, now());
+		assertThat(this.replies.get(0).position().revision()).isEqualTo(15);
 		assertThat(this.replies.get(0).changes()).isEmpty();
 	}
 
 	/** Fails if a sibling waits for a watch that ends after it has gone to the store. */
 	@Test
 	void laterConfirmationIsRefusedAtOnce() {
-		this.feed.restart(10, now());
+		this.feed.restart(StorePosition.of(10), now());
 		this.feed.startWatch(now(), WAIT.plusMillis(1));
 		ask(10);
 		assertThat(statuses()).containsExactly(Status.BUSY);
@@ -86,7 +91,7 @@
 	 */
 	@Test
 	void whatWasHeardIsNotPassedOn() {
-		this.feed.restart(10, now());
+		this.feed.restart(StorePosition.of(10), now());
 		ask(10);
 		this.feed.stopFollowingStore();
 		ask(10);
@@ -99,11 +104,11 @@
 	 */
 	@Test
 	void outageAtHubSendsSiblingsToTheStore() {
-		this.feed.restart(10, now());
+		this.feed.restart(StorePosition.of(10), now());
 		ask(10);
 		this.feed.markStoreUnavailable();
 		ask(10);
-		this.feed.append(10, CHANGE, now());
+		this.feed.append(StorePosition.of(10), CHANGE, now());
 		ask(9);
 		ask(10);
 		assertThat(statuses()).containsExactly(Status.STORE_UNAVAILABLE, Status.STORE_UNAVAILABLE, Status.NOT_COVERED,
@@ -116,11 +121,11 @@
 	 */
 	@Test
 	void largeObjectsAreLeftToTheStore() {
-		this.feed.restart(10, now());
+		this.feed.restart(StorePosition.of(10), now());
 		ask(10);
 		StoredObject large = new StoredObject("servers/a", 12, new byte[1 << 20]);
-		this.feed.append(10, new WatchResult(12, List.of(new ObjectChange("servers/a", 12, Optional.of(large))), false),
-				now());
+		this.feed.append(StorePosition.of(10),
+				new WatchResult(12, List.of(new ObjectChange("servers/a", 12, Optional.of(large))), false), now());
 		assertThat(statuses()).containsExactly(Status.NOT_COVERED);
 	}
 
@@ -130,10 +135,10 @@
 	 */
 	@Test
 	void ageCountsFromArrivalOfQuery() {
-		this.feed.restart(10, now());
+		this.feed.restart(StorePosition.of(10), now());
 		this.nowNanos = Duration.ofMillis(300).toNanos();
 		ask(10);
-		this.feed.append(10, CHANGE, steadyTime(500));
+		this.feed.append(StorePosition.of(10), CHANGE, steadyTime(500));
 		this.nowNanos = Duration.ofMillis(800).toNanos();
 		ask(11);
 		assertThat(this.replies.stream().map(ChangesReply::ageMillis)).containsExactly(-199L, 301L).inOrder();
@@ -144,13 +149,42 @@
 		return new ClockReading(Duration.ofMillis(millis).toNanos(), Long.MAX_VALUE / 2);
 	}
 
+	/**
+	 * Pattern: the store came back from an older copy, and a sibling is still at a higher
+	 * revision of the era before. Fails if it is confirmed as up to date, in place of
+	 * being told at once (incident 49).
+	 */
+	@Test
+	void siblingOfAnotherEraIsNotConfirmed() {
+		this.feed.restart(StorePosition.of(1, 20), now());
+		ask(StorePosition.of(1, 20));
+		assertThat(this.replies).isEmpty();
+		this.feed.restart(StorePosition.of(2, 10), now());
+		ask(StorePosition.of(1, 20));
+		ask(StorePosition.of(3, 5));
+		assertThat(statuses()).containsExactly(Status.OTHER_ERA, Status.OTHER_ERA, Status.OTHER_ERA);
+		assertThat(this.replies.get(0).position()).isEqualTo(StorePosition.of(2, 10));
+	}
+
+	/**
+	 * Pattern: an upgrade is under way, and a sibling of the former build asks without an
+	 * era. Fails if its position is believed, or if it gets a status that it does not
+	 * know.
+	 */
+	@Test
+	void siblingOfFormerBuildIsSentToTheStore() {
+		this.feed.restart(StorePosition.of(2, 10), now());
+		ask(StorePosition.of(10));
+		assertThat(statuses()).containsExactly(Status.NOT_COVERED);
+	}
+
 	/** Fails if a withdrawn query is kept, or a daemon without followers calls often. */
 	@Test
 	void forgetsSiblingsThatLeft() {
-		this.feed.restart(10, now());
+		this.feed.restart(StorePosition.of(10), now());
 		ask(10).run();
 		this.nowNanos += Duration.ofSeconds(9).toNanos();
-		this.feed.append(10, CHANGE, now());
+		this.feed.append(StorePosition.of(10), CHANGE, now());
 		assertThat(this.replies).isEmpty();
 		assertThat(this.feed.followerCount()).isEqualTo(0);
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeLogTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeLogTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.mulberrycross.platform.ObjectChange;
+import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 
@@ -32,20 +33,20 @@
 	}
 
 	private void append(long after, long revision, ObjectChange... changes) {
-		this.log.append(after, new WatchResult(revision, List.of(changes), false), NOW);
+		this.log.append(StorePosition.of(after), new WatchResult(revision, List.of(changes), false), NOW);
 	}
 
 	/** Fails if a sibling gets changes that it has, or not all that it lacks. */
 	@Test
 	void returnsChangesAfterRevision() {
-		this.log.restart(5, NOW);
+		this.log.restart(StorePosition.of(5), NOW);
 		append(5, 8, put("a", 6), put("b", 8));
 		append(8, 9);
 		append(9, 12, put("c", 11));
-		assertThat(this.log.changesAfter(6).orElseThrow().stream().map(ObjectChange::key))
+		assertThat(this.log.changesAfter(StorePosition.of(6)).orElseThrow().stream().map(ObjectChange::key))
 			.containsExactly("servers/b", "servers/c")
 			.inOrder();
-		assertThat(this.log.changesAfter(12)).hasValue(List.of());
+		assertThat(this.log.changesAfter(StorePosition.of(12))).hasValue(List.of());
 	}
 
 	/**
@@ -55,9 +56,9 @@
 	 */
 	@Test
 	void deletionsAreComplete() {
-		this.log.restart(5, NOW);
+		this.log.restart(StorePosition.of(5), NOW);
 		append(5, 9, put("a", 6), deleted("a", 6), put("a", 8), put("b", 7), deleted("b", 7));
-		assertThat(this.log.changesAfter(8).orElseThrow()).containsExactly(deleted("b", 7));
+		assertThat(this.log.changesAfter(StorePosition.of(8)).orElseThrow()).containsExactly(deleted("b", 7));
 	}
 
 	/**
@@ -66,16 +67,16 @@
 	 */
 	@Test
 	void doesNotCoverTimeBeforeItsStart() {
-		this.log.restart(20, NOW);
-		assertThat(this.log.changesAfter(19)).isEmpty();
-		assertThat(this.log.changesAfter(20)).isPresent();
+		this.log.restart(StorePosition.of(20), NOW);
+		assertThat(this.log.changesAfter(StorePosition.of(19))).isEmpty();
+		assertThat(this.log.changesAfter(StorePosition.of(20))).isPresent();
 	}
 
 	/** Fails if a hub answers for a revision that it has not read yet. */
 	@Test
 	void doesNotCoverRevisionBeyondItsOwn() {
-		this.log.restart(20, NOW);
-		assertThat(this.log.changesAfter(21)).isEmpty();
+		this.log.restart(StorePosition.of(20), NOW);
+		assertThat(this.log.changesAfter(StorePosition.of(21))).isEmpty();
 	}
 
 	/**
@@ -84,21 +85,21 @@
 	 */
 	@Test
 	void startsAgainAfterGap() {
-		this.log.restart(5, NOW);
+		this.log.restart(StorePosition.of(5), NOW);
 		this.log.clear();
-		assertThat(this.log.changesAfter(5)).isEmpty();
+		assertThat(this.log.changesAfter(StorePosition.of(5))).isEmpty();
 		append(30, 31, put("a", 31));
-		assertThat(this.log.changesAfter(29)).isEmpty();
-		assertThat(this.log.changesAfter(30).orElseThrow()).hasSize(1);
+		assertThat(this.log.changesAfter(StorePosition.of(29))).isEmpty();
+		assertThat(this.log.changesAfter(StorePosition.of(30)).orElseThrow()).hasSize(1);
 	}
 
 	/** Fails if a storm of changes grows the log without limit, or leaves a gap. */
 	@Test
 	void dropsOldestBatches() {
-		this.log.restart(0, NOW);
+		this.log.restart(StorePosition.of(0), NOW);
 		IntStream.range(0, 1000).forEach((i) -> append(i, i + 1, put("a" + i, i + 1)));
-		assertThat(this.log.changesAfter(700)).isEmpty();
-		assertThat(this.log.changesAfter(800).orElseThrow()).hasSize(200);
+		assertThat(this.log.changesAfter(StorePosition.of(700))).isEmpty();
+		assertThat(this.log.changesAfter(StorePosition.of(800)).orElseThrow()).hasSize(200);
 	}
 
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/HubWatchTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/HubWatchTest.java
@@ -36,18 +36,23 @@
 
 	private long nowNanos = Duration.ofSeconds(10).toNanos();
 
-	private ChangesReply reply = new ChangesReply(Status.KNOWN, 7, 0, List.of());
+	private ChangesReply reply = new ChangesReply(Status.KNOWN, StorePosition.of(7), 0, List.of());
 
 	private final HubWatch watch = new HubWatch("servers", new FakeHub(), this::answer, () -> this.nowNanos);
 
 	private ChangesReply answer(Address address, ChangesQuery query, Duration timeout) throws PeerException {
-		this.events.add("ask " + address.host() + " after " + query.afterRevision() + " within " + timeout.toMillis());
-		if (this.reply.revision() < 0) {
+		this.events
+			.add("ask " + address.host() + " after " + query.after().revision() + " within " + timeout.toMillis());
+		if (this.reply.position().revision() < 0) {
 			throw new NotRunException(Step.WATCH, new Peer(Peer.Kind.SIBLING, ""), "no reply");
 		}
 		return this.reply;
 	}
 
+	private Optional<SiblingChanges> ask(StorePosition after) {
+		return this.watch.changesAfter(after, ClockReading.now(() -> this.nowNanos), TRUST);
+	}
+
 	private boolean hears(Duration age) {
 		ClockReading confirmedAsOf = ClockReading.now(() -> this.nowNanos - age.toNanos());
 		return this.watch.changesAfter(StorePosition.of(7), confirmedAsOf, TRUST).isPresent();
@@ -67,9 +72,9 @@
 	 */
 	@Test
 	void goesOnAtNextHub() {
-		this.reply = new ChangesReply(Status.KNOWN, -1, 0, List.of());
+		this.reply = new ChangesReply(Status.KNOWN, StorePosition.of(-1), 0, List.of());
 		assertThat(hears(Duration.ZERO)).isFalse();
-		this.reply = new ChangesReply(Status.KNOWN, 7, 0, List.of());
+		this.reply = new ChangesReply(Status.KNOWN, StorePosition.of(7), 0, List.of());
 		assertThat(hears(Duration.ZERO)).isTrue();
 		assertThat(this.events)
 			.containsExactly("ask 10.0.0.1 after 7 within 1400", "avoid 10.0.0.1", "ask 10.0.0.2 after 7 within 1400")
@@ -94,13 +99,48 @@
 	void cutOffOrStaleHubIsAvoided() {
 		this.reply = ChangesReply.of(Status.STORE_UNAVAILABLE);
 		assertThat(hears(Duration.ZERO)).isFalse();
-		this.reply = new ChangesReply(Status.KNOWN, 6, 0, List.of());
+		this.reply = new ChangesReply(Status.KNOWN, StorePosition.of(6), 0, List.of());
 		assertThat(hears(Duration.ZERO)).isFalse();
 		assertThat(hears(Duration.ZERO)).isFalse();
 		assertThat(this.events).containsAtLeast("avoid 10.0.0.1", "avoid 10.0.0.2");
 		assertThat(this.events).hasSize(4);
 	}
 
+	/**
+	 * Pattern: the hub has learned that the store came back from a copy. Fails if the
+	 * daemon does not list again, or lists without end while the store names the former
+	 * era.
+	 */
+	@Test
+	void listsOnceIfHubIsInLaterEra() {
+		this.reply = ChangesReply.otherEra(StorePosition.of(2, 3));
+		Optional<SiblingChanges> heard = ask(StorePosition.of(1, 7));
+		assertThat(heard.orElseThrow().result().compacted()).isTrue();
+		assertThat(this.events).doesNotContain("avoid 10.0.0.1");
+		assertThat(ask(StorePosition.of(1, 7))).isEmpty();
+		assertThat(this.events).contains("avoid 10.0.0.1");
+	}
+
+	/** Fails if a hub that is still in an earlier era sets this daemon back. */
+	@Test
+	void hubInEarlierEraIsNotBelieved() {
+		this.reply = ChangesReply.otherEra(StorePosition.of(1, 900));
+		assertThat(ask(StorePosition.of(2, 7))).isEmpty();
+		this.reply = new ChangesReply(Status.KNOWN, StorePosition.of(1, 900), 0, List.of());
+		assertThat(ask(StorePosition.of(2, 7))).isEmpty();
+	}
+
+	/**
+	 * Pattern: an upgrade is under way, and the hub is of the former build, which names
+	 * no era. Fails if it is believed more than the store.
+	 */
+	@Test
+	void hubOfFormerBuildIsAvoided() {
+		this.reply = new ChangesReply(Status.KNOWN, StorePosition.of(900), 0, List.of());
+		assertThat(ask(StorePosition.of(2, 7))).isEmpty();
+		assertThat(this.events).contains("avoid 10.0.0.1");
+	}
+
 	/** Names the next address after each failure, and none in the end. */
 	private final class FakeHub implements DataCentreHub {
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/KindWatcherTest.java
@@ -39,6 +39,7 @@
 import org.mulberrycross.sibling.http.SiblingServer;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /**
  * Guards against missed changes and against late detection of the store's recovery.
@@ -66,6 +67,9 @@
 
 	private final BlockingQueue<ClockReading> confirmations = new LinkedBlockingQueue<>();
 
+	/** The positions of the next lists; then 5, in a store that names no eras. */
+	private final BlockingQueue<StorePosition> lists = new LinkedBlockingQueue<>();
+
 	private final ChangeFeed feed = new ChangeFeed(MonotonicClock.system());
 
 	private KindWatcher newWatcher(BlockingQueue<WatchResult> results) {
@@ -97,6 +101,11 @@
 		return new WatchResult(revision, changes, compacted);
 	}
 
+	private static WatchResult eraResult(long era, long revision, String name) {
+		return new WatchResult(StorePosition.of(era, revision),
+				List.of(new ObjectChange("servers/" + name, revision, Optional.empty())), false);
+	}
+
 	private String poll(BlockingQueue<String> queue) throws InterruptedException {
 		return queue.poll(POLL_TIMEOUT_SECONDS, TimeUnit.SECONDS);
 	}
@@ -224,6 +233,95 @@
 		}
 	}
 
+	/**
+	 * Pattern: the store comes back from an older copy and has given the revision of the
+	 * watch out again. Fails if the daemon goes on from there, so that it misses what was
+	 * written below that revision for good (incident 49).
+	 */
+	@Test
+	void listsAgainInNewEra() throws Exception {
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(
+				List.of(eraResult(1, 6, "a"), eraResult(2, 9, "b"), eraResult(2, 10, "c")));
+		this.lists.addAll(List.of(StorePosition.of(1, 5), StorePosition.of(2, 8)));
+		try (KindWatcher watcher = newWatcher(results)) {
+			watcher.start();
+			assertThat(poll(this.calls)).isEqualTo("list");
+			assertThat(poll(this.calls)).startsWith("watch 5");
+			assertThat(poll(this.calls)).startsWith("watch 6");
+			assertThat(poll(this.calls)).isEqualTo("list");
+			assertThat(poll(this.calls)).startsWith("watch 8");
+			for (String expected : List.of("listed", "changed 1", "restored", "listed", "changed 1")) {
+				assertThat(poll(this.notifications)).isEqualTo(expected);
+			}
+		}
+	}
+
+	/**
+	 * Pattern: the store comes back from an older copy below the revision of the watch,
+	 * which it answers 410. Fails if upstreams whose entries are gone are removed before
+	 * they have written them again.
+	 */
+	@Test
+	void compactionInNewEraIsReturnFromCopy() throws Exception {
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(
+				List.of(new WatchResult(StorePosition.of(2, 5), List.of(), true)));
+		this.lists.addAll(List.of(StorePosition.of(1, 5), StorePosition.of(2, 3)));
+		try (KindWatcher watcher = newWatcher(results)) {
+			watcher.start();
+			for (String expected : List.of("listed", "restored", "listed")) {
+				assertThat(poll(this.notifications)).isEqualTo(expected);
+			}
+		}
+	}
+
+	/**
+	 * Pattern: one response of the store lacks the header that names the era. Fails if
+	 * its changes are applied at an unknown position, or if this counts as a new era.
+	 */
+	@Test
+	void listsAgainAfterResponseWithoutEra() throws Exception {
+		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(9, false, "b")));
+		this.lists.addAll(List.of(StorePosition.of(1, 5), StorePosition.of(1, 9)));
+		try (KindWatcher watcher = newWatcher(results)) {
+			watcher.start();
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			assertThat(poll(this.notifications)).isEqualTo("listed");
+			assertThat(this.notifications).isEmpty();
+		}
+	}
+
+	/**
+	 * Pattern: a hub is lost together with a store that comes back from a copy. Fails if
+	 * the daemon waits for the end of a long watch, which nothing ends, to learn of it.
+	 */
+	@Test
+	void firstWatchAfterSiblingIsShort() throws Exception {
+		BlockingQueue<WatchResult> replies = new LinkedBlockingQueue<>(List.of(eraResult(1, 7, "a")));
+		this.lists.addAll(List.of(StorePosition.of(1, 5)));
+		try (KindWatcher watcher = newWatcher(new LinkedBlockingQueue<>(List.of(eraResult(1, 8, "b"))),
+				siblings(replies))) {
+			watcher.start();
+			assertThat(poll(this.calls)).isEqualTo("list");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 5");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 7");
+			assertThat(poll(this.calls)).isEqualTo("watch 7 for 100");
+			assertThat(poll(this.calls)).isEqualTo("ask sibling after 8");
+			assertThat(poll(this.calls)).isEqualTo("watch 8 for 4000");
+		}
+	}
+
+	/** Fails if a list is used whose first pages were read before the store was away. */
+	@Test
+	void pagesOfTwoErasAreNoList() {
+		BlockingQueue<StorePosition> pages = new LinkedBlockingQueue<>(
+				List.of(StorePosition.of(1, 5), StorePosition.of(2, 4)));
+		StoredObject object = new StoredObject("servers/a", 1, new byte[0]);
+		assertThrows(PeerException.class,
+				() -> KindWatcher.listAll(
+						(kinds, after, limit) -> new ObjectPage(pages.remove(), List.of(object), !pages.isEmpty()),
+						"servers"));
+	}
+
 	/**
 	 * Pattern: a daemon follows a sibling that then falls silent. Fails if it lists all
 	 * objects again in place of one watch at the revision that it knows, if it takes the
@@ -296,12 +394,12 @@
 	void goesOnAtTheStoreWhenHubDies() throws Exception {
 		Address address = new Address("127.0.0.1", freePort());
 		ChangeFeed hubFeed = new ChangeFeed(MonotonicClock.system());
-		hubFeed.restart(5, ClockReading.now(MonotonicClock.system()));
+		hubFeed.restart(StorePosition.of(5), ClockReading.now(MonotonicClock.system()));
 		BlockingQueue<WatchResult> results = new LinkedBlockingQueue<>(List.of(result(9, false, "b")));
 		try (SiblingServer server = new SiblingServer(address); HttpClient client = new HttpClient(1)) {
 			server.register(ChangesCodec.PATH, new ChangesHandler(Map.of("servers", (query, onReply) -> {
 				Runnable withdrawal = hubFeed.request(query, onReply);
-				this.calls.add("ask hub after " + query.afterRevision());
+				this.calls.add("ask hub after " + query.after().revision());
 				return withdrawal;
 			}), "b"::equals));
 			server.start();
@@ -312,7 +410,7 @@
 				watcher.start();
 				assertThat(poll(this.calls)).isEqualTo("list");
 				assertThat(poll(this.calls)).isEqualTo("ask hub after 5");
-				hubFeed.append(5, result(7, false, "a"), ClockReading.now(MonotonicClock.system()));
+				hubFeed.append(StorePosition.of(5), result(7, false, "a"), ClockReading.now(MonotonicClock.system()));
 				assertThat(poll(this.calls)).isEqualTo("ask hub after 7");
 				killHub.run();
 				assertThat(poll(this.calls)).isEqualTo("avoid hub");
@@ -366,7 +464,8 @@
 		@Override
 		public ObjectPage list(Set<String> kinds, String after, int limit) {
 			KindWatcherTest.this.calls.add("list");
-			return new ObjectPage(5, List.of(), false);
+			StorePosition position = KindWatcherTest.this.lists.poll();
+			return new ObjectPage((position != null) ? position : StorePosition.of(5), List.of(), false);
 		}
 
 		@Override
@@ -431,6 +530,11 @@
 			KindWatcherTest.this.notifications.add("changed " + changes.size());
 		}
 
+		@Override
+		public void onStoreRestored() {
+			KindWatcherTest.this.notifications.add("restored");
+		}
+
 		@Override
 		public void onStoreUnavailable() {
 			KindWatcherTest.this.notifications.add("unavailable");
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/SiblingChangesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/SiblingChangesTest.java
@@ -26,7 +26,8 @@
 	}
 
 	private static Optional<SiblingChanges> evaluate(long revision, long ageMillis, SharedChange... changes) {
-		return SiblingChanges.of(new ChangesReply(ChangesReply.Status.KNOWN, revision, ageMillis, List.of(changes)),
+		return SiblingChanges.of(
+				new ChangesReply(ChangesReply.Status.KNOWN, StorePosition.of(revision), ageMillis, List.of(changes)),
 				StorePosition.of(AFTER), at(5000), at(6000));
 	}
 
