Fix the placement of layers after the store came back from an older copy

Callers of streams got 503 for good once the engines that held layers had left.

Cause: the lease record in the copy had a lower fencing number than the one last seen. OrderLease took that for a broken invariant and threw, which left the state machine waiting for a result in each daemon that had seen the higher number. Worse cases of the same class, a lease or fencing number trusted across eras: a holder went on to act on a record that was gone, a record could be renewed under a revision that now belongs to another daemon's, and a number could be used twice.

Now every answer is checked for a new era before its result is used. In a new era a daemon gives up what it holds, sends no order that was being prepared, and acquires the lease at the earliest one lease duration later, since the holder of a lost record may act until then; it reads the record at once, so that both waits overlap. A lower number in a store that names no eras is treated in the same way.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseEvent.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseEvent.java
@@ -12,8 +12,9 @@
 	 * Requests to acquire or renew the lease. Without ticks the lease expires.
 	 *
 	 * @param token a unique token for the next write
+	 * @param fencingFloor the number above which the fencing number of a new term must be
 	 */
-	record Tick(String token) implements LeaseEvent {
+	record Tick(String token, long fencingFloor) implements LeaseEvent {
 
 	}
 
@@ -26,6 +27,14 @@
 
 	}
 
+	/**
+	 * The store came back from an older copy. The result of an action that was awaited is
+	 * lost, and so may be what was written before.
+	 */
+	record StoreRestored() implements LeaseEvent {
+
+	}
+
 	/**
 	 * The write took effect.
 	 *
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseState.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseState.java
@@ -17,9 +17,10 @@
  * @param held the record under which this daemon holds the lease, or
  * {@link StoredLease#NONE} if it does not, not null
  * @param validUntilNanos the expiry time of the held lease
+ * @param terms what outlasts the records of the store, not null
  */
 public record LeaseState(Phase phase, StoredLease lastSeen, long firstSeenNanos, String token,
-		OrderLeaseRecord pendingWrite, long sentNanos, StoredLease held, long validUntilNanos) {
+		OrderLeaseRecord pendingWrite, long sentNanos, StoredLease held, long validUntilNanos, TermHistory terms) {
 
 	/**
 	 * Creates a state.
@@ -32,6 +33,7 @@
 	 * none
 	 * @param held the record under which this daemon holds the lease, not null
 	 * @param validUntilNanos the expiry time of the held lease
+	 * @param terms what outlasts the records of the store, not null
 	 */
 	public LeaseState {
 		Objects.requireNonNull(phase, "phase");
@@ -39,6 +41,7 @@
 		Objects.requireNonNull(token, "token");
 		Objects.requireNonNull(pendingWrite, "pendingWrite");
 		Objects.requireNonNull(held, "held");
+		Objects.requireNonNull(terms, "terms");
 	}
 
 	/**
@@ -46,7 +49,17 @@
 	 * @return the initial state
 	 */
 	public static LeaseState initial() {
-		return new LeaseState(Phase.IDLE, StoredLease.NONE, 0, "", StoredLease.NONE.lease(), 0, StoredLease.NONE, 0);
+		return new LeaseState(Phase.IDLE, StoredLease.NONE, 0, "", StoredLease.NONE.lease(), 0, StoredLease.NONE, 0,
+				TermHistory.NONE);
+	}
+
+	/**
+	 * Returns the state of a daemon that gives up the lease, since an engine has seen a
+	 * higher fencing number than its own.
+	 * @return the state, without a lease
+	 */
+	public LeaseState abandoned() {
+		return initial().withTerms(this.terms);
 	}
 
 	/**
@@ -60,38 +73,50 @@
 
 	LeaseState withPhase(Phase newPhase) {
 		return new LeaseState(newPhase, this.lastSeen, this.firstSeenNanos, this.token, this.pendingWrite,
-				this.sentNanos, this.held, this.validUntilNanos);
+				this.sentNanos, this.held, this.validUntilNanos, this.terms);
 	}
 
 	LeaseState withToken(String newToken) {
 		return new LeaseState(this.phase, this.lastSeen, this.firstSeenNanos, newToken, this.pendingWrite,
-				this.sentNanos, this.held, this.validUntilNanos);
+				this.sentNanos, this.held, this.validUntilNanos, this.terms);
 	}
 
 	LeaseState withPendingWrite(OrderLeaseRecord lease, long nowNanos) {
 		return new LeaseState(Phase.WRITING, this.lastSeen, this.firstSeenNanos, this.token, lease, nowNanos, this.held,
-				this.validUntilNanos);
+				this.validUntilNanos, this.terms);
 	}
 
 	LeaseState withoutPendingWrite() {
 		return new LeaseState(Phase.IDLE, this.lastSeen, this.firstSeenNanos, this.token, StoredLease.NONE.lease(), 0,
-				this.held, this.validUntilNanos);
+				this.held, this.validUntilNanos, this.terms);
 	}
 
 	LeaseState withoutHeldLease() {
 		return new LeaseState(this.phase, this.lastSeen, this.firstSeenNanos, this.token, this.pendingWrite,
-				this.sentNanos, StoredLease.NONE, 0);
+				this.sentNanos, StoredLease.NONE, 0, this.terms);
 	}
 
 	LeaseState withLastSeen(StoredLease stored, long nowNanos) {
-		boolean unchanged = stored.version() == this.lastSeen.version();
+		boolean unchanged = stored.equals(this.lastSeen);
 		return new LeaseState(this.phase, stored, unchanged ? this.firstSeenNanos : nowNanos, this.token,
-				this.pendingWrite, this.sentNanos, this.held, this.validUntilNanos);
+				this.pendingWrite, this.sentNanos, this.held, this.validUntilNanos, this.terms.afterRead(stored));
 	}
 
 	LeaseState withHeldLease(StoredLease stored, long newValidUntilNanos, long nowNanos) {
 		return new LeaseState(Phase.IDLE, stored, nowNanos, this.token, StoredLease.NONE.lease(), 0, stored,
-				newValidUntilNanos);
+				newValidUntilNanos, this.terms.afterRead(stored));
+	}
+
+	LeaseState withTerms(TermHistory newTerms) {
+		return new LeaseState(this.phase, this.lastSeen, this.firstSeenNanos, this.token, this.pendingWrite,
+				this.sentNanos, this.held, this.validUntilNanos, newTerms);
+	}
+
+	// Returns the state of a daemon that holds nothing and trusts no record that it
+	// knows.
+	LeaseState afterRestoration(long acquirableNanos) {
+		return new LeaseState(Phase.IDLE, StoredLease.NONE, 0, this.token, StoredLease.NONE.lease(), 0,
+				StoredLease.NONE, 0, this.terms.afterRestoration(acquirableNanos));
 	}
 
 	boolean hasPendingWrite() {
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/LeaseStore.java
@@ -6,14 +6,23 @@
 import org.mulberrycross.PeerException;
 
 /**
- * Versioned store of lease records. Versions are positive and never reused. Reads return
- * the latest record. Records are never deleted, because the fencing number would then
- * start over. Implementations are thread-safe and block for a bounded time. All methods
- * throw {@link org.mulberrycross.NotRunException} if the call had no effect, and another
- * {@link PeerException} if a write may have taken effect.
+ * Versioned store of lease records. Versions are positive and never reused within an era.
+ * Reads return the latest record. Records are never deleted, because the fencing number
+ * would then start over. Implementations are thread-safe and block for a bounded time.
+ * All methods throw {@link org.mulberrycross.NotRunException} if the call had no effect,
+ * and another {@link PeerException} if a write may have taken effect.
  */
 public interface LeaseStore {
 
+	/**
+	 * Returns the latest era that a response has named. A new era means that the store
+	 * came back from an older copy, in which records may be older or missing.
+	 * @return the era, empty if the store names none
+	 */
+	default OptionalLong era() {
+		return OptionalLong.empty();
+	}
+
 	/**
 	 * Reads a record.
 	 * @param name the name of the lease, not null
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/OrderLease.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/OrderLease.java
@@ -15,7 +15,11 @@
  * <li>another daemon waits for the full duration of the stored lease plus the margin
  * after it first saw the current version of the record, and replaces only this version;
  * <li>each term has a higher fencing number (fencing token) than the previous one, even
- * if the same daemon acquires the lease again after it expired;
+ * if the same daemon acquires the lease again after it expired, or the store comes back
+ * from an older copy;
+ * <li>when the store came back, a daemon gives up what it holds and waits for the full
+ * duration plus the margin, whatever the record says: the holder of a lease whose record
+ * is lost may still act on it;
  * <li>if the outcome of a write is unknown, the record is read back and its write token
  * is compared. A write that takes effect after that read is treated like the record of
  * another daemon.
@@ -68,8 +72,13 @@
 	}
 
 	private Transition<LeaseState, LeaseAction> transition(LeaseState state, LeaseEvent event, long nowNanos) {
+		if (event instanceof LeaseEvent.StoreRestored) {
+			return Transition.withoutActions(restored(state, nowNanos));
+		}
 		if (event instanceof LeaseEvent.Tick tick) {
-			return (state.phase() == LeaseState.Phase.IDLE) ? handleTick(state.withToken(tick.token()), nowNanos)
+			LeaseState next = state.withToken(tick.token())
+				.withTerms(state.terms().withFencingFloor(tick.fencingFloor()));
+			return (state.phase() == LeaseState.Phase.IDLE) ? handleTick(next, nowNanos)
 					: Transition.withoutActions(state);
 		}
 		if (state.phase() == LeaseState.Phase.READING && event instanceof LeaseEvent.ReadCompleted read) {
@@ -101,13 +110,14 @@
 		if (state.held().exists()) {
 			long remaining = state.validUntilNanos() - nowNanos;
 			if (remaining <= 0) {
-				return startWrite(state, state.held(), nowNanos, state.held().lease().fencing() + 1);
+				return startWrite(state, state.held(), nowNanos, state.terms().highestFencing() + 1);
 			}
 			boolean renewalDue = remaining <= this.duration.toNanos() / RENEWALS_PER_LEASE * (RENEWALS_PER_LEASE - 1);
 			return renewalDue ? startWrite(state, state.held(), nowNanos, state.held().lease().fencing())
 					: Transition.withoutActions(state);
 		}
-		return canAcquire(state, nowNanos) ? startRead(state) : Transition.withoutActions(state);
+		boolean readDue = !state.terms().recordRead() || canAcquire(state, nowNanos);
+		return readDue ? startRead(state) : Transition.withoutActions(state);
 	}
 
 	private Transition<LeaseState, LeaseAction> handleRead(LeaseState state, StoredLease stored, long nowNanos) {
@@ -115,18 +125,33 @@
 			return Transition.withoutActions(holdLease(state, stored, nowNanos));
 		}
 		LeaseState resolved = state.withoutPendingWrite();
-		if (resolved.held().exists() && stored.version() == resolved.held().version()) {
+		if (resolved.held().exists() && stored.equals(resolved.held())) {
 			return Transition.withoutActions(resolved);
 		}
-		LeaseState observed = resolved.withoutHeldLease().withLastSeen(stored, nowNanos);
-		return canAcquire(observed, nowNanos) ? startWrite(observed, stored, nowNanos, stored.lease().fencing() + 1)
+		// A store that names no eras shows by a lower number that it came back from a
+		// copy.
+		LeaseState trusted = (stored.lease().fencing() < resolved.lastSeen().lease().fencing())
+				? restored(resolved, nowNanos) : resolved;
+		LeaseState observed = trusted.withoutHeldLease().withLastSeen(stored, nowNanos);
+		return canAcquire(observed, nowNanos)
+				? startWrite(observed, stored, nowNanos, observed.terms().highestFencing() + 1)
 				: Transition.withoutActions(observed);
 	}
 
+	// The former holder may have had a longer duration than this daemon.
+	private LeaseState restored(LeaseState state, long nowNanos) {
+		long longestMillis = Math.max(this.duration.toMillis(), state.lastSeen().lease().durationMillis());
+		return state.afterRestoration(nowNanos + expiryNanos(longestMillis));
+	}
+
+	private static long expiryNanos(long durationMillis) {
+		return (long) Math.ceil(Duration.ofMillis(durationMillis).toNanos() * (1 + CLOCK_RATE_MARGIN));
+	}
+
 	private static boolean canAcquire(LeaseState state, long nowNanos) {
-		long leaseNanos = Duration.ofMillis(state.lastSeen().lease().durationMillis()).toNanos();
-		long waitNanos = (long) Math.ceil(leaseNanos * (1 + CLOCK_RATE_MARGIN));
-		return !state.lastSeen().exists() || nowNanos - state.firstSeenNanos() >= waitNanos;
+		boolean expired = !state.lastSeen().exists()
+				|| nowNanos - state.firstSeenNanos() >= expiryNanos(state.lastSeen().lease().durationMillis());
+		return expired && state.terms().isAcquirable(nowNanos);
 	}
 
 	private LeaseState holdLease(LeaseState state, StoredLease stored, long nowNanos) {
@@ -145,9 +170,9 @@
 	}
 
 	private void checkInvariants(LeaseState before, LeaseState after, long nowNanos) {
-		if (after.lastSeen().lease().fencing() < before.lastSeen().lease().fencing()) {
-			throw new IllegalStateException("fencing number decreased from " + before.lastSeen().lease().fencing()
-					+ " to " + after.lastSeen().lease().fencing());
+		if (after.terms().highestFencing() < before.terms().highestFencing()) {
+			throw new IllegalStateException("fencing number decreased from " + before.terms().highestFencing() + " to "
+					+ after.terms().highestFencing());
 		}
 		if (after.held().exists() && after.validUntilNanos() - nowNanos > this.duration.toNanos()) {
 			throw new IllegalStateException("lease is valid for longer than its duration " + this.duration);
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/OrderReconciler.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/OrderReconciler.java
@@ -101,7 +101,9 @@
 	}
 
 	private void acquireOrRenewLease() {
-		Optional<LeaseAction> action = handleEvent(new LeaseEvent.Tick(this.tokens.get()));
+		this.leaseExecutor.checkEra().ifPresent(this::handleEvent);
+		Optional<LeaseAction> action = handleEvent(
+				new LeaseEvent.Tick(this.tokens.get(), this.leaseExecutor.fencingFloor()));
 		while (action.isPresent()) {
 			action = handleEvent(this.leaseExecutor.execute(action.get()));
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/ObjectLeaseStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/ObjectLeaseStore.java
@@ -30,6 +30,11 @@
 		this.store = Objects.requireNonNull(store, "store");
 	}
 
+	@Override
+	public OptionalLong era() {
+		return this.store.era();
+	}
+
 	@Override
 	public Optional<StoredLease> read(String name) throws PeerException {
 		Optional<StoredObject> object = this.store.read(KEY_PREFIX + name);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -109,6 +109,12 @@
 	/** The monotonic time before which no call is made after a failed one. */
 	private OptionalLong leaseRetryNanos = OptionalLong.empty();
 
+	/**
+	 * Set when the store came back from an older copy: the wait for the record to expire
+	 * begins when it is read, which is not put off until something is to be ordered.
+	 */
+	private boolean recordReadDue;
+
 	/**
 	 * Set when an engine has seen a higher fencing number, which means that another
 	 * daemon holds the lease.
@@ -148,6 +154,11 @@
 		if (!view.enginesReachable()) {
 			return;
 		}
+		Optional<LeaseEvent> restoration = this.leaseExecutor.checkEra();
+		restoration.ifPresent((event) -> {
+			applyLeaseEvent(event);
+			this.recordReadDue = true;
+		});
 		long nowNanos = this.clocks.get().monotonicNanos();
 		List<ServicePlan> plans = view.profiles()
 			.entrySet()
@@ -156,16 +167,18 @@
 			.toList();
 		// The holder keeps the lease until its orders have ended. Another daemon does not
 		// know them and would place the same layers once more.
-		if (plans.isEmpty() && !(this.leaseState.grant().isPresent() && this.pendingOrders.isAnyAccepted(nowNanos))) {
+		boolean keepsLease = this.leaseState.grant().isPresent() && this.pendingOrders.isAnyAccepted(nowNanos);
+		if (plans.isEmpty() && !keepsLease && !this.recordReadDue) {
 			return;
 		}
 		if (this.fenced) {
 			this.fenced = false;
-			this.leaseState = LeaseState.initial();
+			this.leaseState = this.leaseState.abandoned();
 			logger.info("placement lease abandoned: an engine has seen a higher fencing number");
 		}
 		if (view.storeAvailable() && nowNanos - this.leaseRetryNanos.orElse(nowNanos) >= 0) {
 			advanceLease();
+			this.recordReadDue = false;
 		}
 		Optional<LeaseGrant> grant = this.leaseState.grant().filter(this::isValidForOrder);
 		if (grant.isPresent() && !plans.isEmpty()) {
@@ -223,11 +236,13 @@
 		return this.pendingOrders.isPending(engine.id());
 	}
 
-	// Returns whether the lease outlasts an order that is sent now. Its monotonic clock
+	// Returns whether the lease outlasts an order that is sent now, and its record was
+	// not
+	// lost since. Its monotonic clock
 	// stops while the machine is suspended, so the age on the wall clock counts as well.
 	private boolean isValidForOrder(LeaseGrant grant) {
 		ClockReading now = this.clocks.get();
-		return grant.isValidFor(ORDER_TIMEOUT, now.monotonicNanos())
+		return this.leaseExecutor.isEraCurrent() && grant.isValidFor(ORDER_TIMEOUT, now.monotonicNanos())
 				&& this.grantRequestedAt.ageMillis(now) <= LEASE_DURATION.minus(ORDER_TIMEOUT).toMillis();
 	}
 
@@ -235,7 +250,8 @@
 		this.leaseRetryNanos = OptionalLong.empty();
 		ClockReading requestedAt = this.clocks.get();
 		Optional<LeaseGrant> previousGrant = this.leaseState.grant();
-		Optional<LeaseAction> action = applyLeaseEvent(new LeaseEvent.Tick(this.leaseTokens.get()));
+		Optional<LeaseAction> action = applyLeaseEvent(
+				new LeaseEvent.Tick(this.leaseTokens.get(), this.leaseExecutor.fencingFloor()));
 		while (action.isPresent()) {
 			LeaseEvent result = this.leaseExecutor.execute(action.get());
 			if (result instanceof LeaseEvent.CallFailed || result instanceof LeaseEvent.WriteOutcomeUnknown) {
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/FakeLeaseStore.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/FakeLeaseStore.java
@@ -29,6 +29,8 @@
 
 	private long revision;
 
+	private long era = 1;
+
 	FakeLeaseStore(Supplier<Fault> nextFault) {
 		this.nextFault = nextFault;
 	}
@@ -39,6 +41,27 @@
 		return write.isPresent();
 	}
 
+	// Returns a copy of the records, empty if there are none.
+	Optional<Map<String, StoredLease>> copy() {
+		return this.records.isEmpty() ? Optional.empty() : Optional.of(Map.copyOf(this.records));
+	}
+
+	// Returns to a copy in the next era, and gives the revisions out again. Calls that
+	// were
+	// still under way are lost with the store.
+	void restore(Map<String, StoredLease> copy) {
+		this.records.clear();
+		this.records.putAll(copy);
+		this.delayedWrites.clear();
+		this.revision = copy.values().stream().mapToLong(StoredLease::version).max().orElse(0);
+		this.era++;
+	}
+
+	@Override
+	public OptionalLong era() {
+		return OptionalLong.of(this.era);
+	}
+
 	@Override
 	public Optional<StoredLease> read(String name) throws PeerException {
 		if (this.nextFault.get() != Fault.NONE) {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/PlacementRunnerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/PlacementRunnerTest.java
@@ -166,11 +166,38 @@
 		assertThat(store.writes).isEqualTo(writes);
 	}
 
+	/**
+	 * Pattern: the store comes back from an older copy while a daemon holds the lease.
+	 * Fails if an order is sent on the lost lease, or none after its duration.
+	 */
+	@Test
+	void ordersOnlyOnLeaseOfCurrentEra() throws Exception {
+		GrantingLeaseStore store = new GrantingLeaseStore();
+		PlacementRunner placementRunner = runnerWith(store, new RestoringPlacementClient(store));
+		placementRunner.planAndOrder();
+		assertThat(this.orders).isEqualTo(0);
+		for (int i = 0; i < PlacementRunner.LEASE_DURATION.toNanos() / PLANNING_PERIOD_NANOS; i++) {
+			this.nowNanos += PLANNING_PERIOD_NANOS;
+			placementRunner.planAndOrder();
+		}
+		assertThat(this.orders).isEqualTo(0);
+		this.nowNanos += 2 * PLANNING_PERIOD_NANOS;
+		placementRunner.planAndOrder();
+		assertThat(this.orders).isEqualTo(1);
+	}
+
 	/** Grants each lease. */
 	private static final class GrantingLeaseStore implements LeaseStore {
 
 		private int writes;
 
+		private long era = 1;
+
+		@Override
+		public OptionalLong era() {
+			return OptionalLong.of(this.era);
+		}
+
 		@Override
 		public Optional<StoredLease> read(String name) {
 			return Optional.empty();
@@ -207,6 +234,29 @@
 
 	}
 
+	/** Restores the store from a copy while the first order is prepared. */
+	private final class RestoringPlacementClient implements PlacementClient {
+
+		private final GrantingLeaseStore store;
+
+		private RestoringPlacementClient(GrantingLeaseStore store) {
+			this.store = store;
+		}
+
+		@Override
+		public OptionalLong acceptedOrderCount(EngineInstance engine, Duration timeout) {
+			this.store.era = 2;
+			return OptionalLong.of(0);
+		}
+
+		@Override
+		public PlacementReply sendOrder(Placement placement, long expectedOrders, long fencing, Duration timeout) {
+			PlacementRunnerTest.this.orders++;
+			return PlacementReply.ACCEPTED;
+		}
+
+	}
+
 	/** Counts and rejects all calls. */
 	private final class RejectingLeaseStore implements LeaseStore {
 
