Keep upstreams while they register again after the store came back

Cause, by reading: entries that the store has lost were removed at once if only the connection had been replaced, not an outage noticed, so that live engines got no requests until they had written their entries again; an entry from before an instance announced that it leaves made it eligible again (DRAIN).

A return from a copy now counts like an outage: removals wait two seconds, and an instance that was listed as leaving stays so until its entry is that of a later start.

Evidence: entriesOfOlderCopyAreNoRemovalAndNoReturn fails without the change.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -306,11 +306,6 @@
 			this.kind = kind;
 		}
 
-		@Override
-		public void onStoreRestored() {
-			// What is listed next is applied as after an outage.
-		}
-
 		@Override
 		public void onStoreUnavailable() {
 			Gateway.this.controlThread
@@ -341,6 +336,11 @@
 			this.decoder = decoder;
 		}
 
+		@Override
+		public void onStoreRestored() {
+			// The version in force stays until the operator has written it again.
+		}
+
 		@Override
 		public void onListed(List<StoredObject> objects, ClockReading asOf) {
 			applyVersions(objects, asOf);
@@ -373,6 +373,12 @@
 			this.decoder = decoder;
 		}
 
+		@Override
+		public void onStoreRestored() {
+			Gateway.this.controlThread
+				.post(() -> Gateway.this.relayControl.directory().markStoreRestored(Gateway.this.clock.nanos()));
+		}
+
 		@Override
 		public void onListed(List<StoredObject> objects, ClockReading asOf) {
 			List<DirectoryEntry> entries = objects.stream()
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamDirectory.java
@@ -66,6 +66,18 @@
 		this.unavailableKinds.remove(kind);
 	}
 
+	// Records that the store came back from an older copy: entries are missing or older
+	// until live upstreams have registered again. An instance that leaves does not
+	// return.
+	void markStoreRestored(long nowNanos) {
+		this.availableSinceNanos = OptionalLong.of(nowNanos);
+		this.entries.values()
+			.stream()
+			.map(DirectoryEntry::instance)
+			.filter(UpstreamInstance::leaving)
+			.forEach((instance) -> this.announcedLeaving.put(instance.id(), instance.startedMillis()));
+	}
+
 	boolean isStoreAvailable() {
 		return this.unavailableKinds.isEmpty();
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamDirectoryTest.java
@@ -43,6 +43,22 @@
 		assertThat(eligibleIds()).isEmpty();
 	}
 
+	/**
+	 * Pattern: the store comes back from a copy in which one entry is missing and another
+	 * one is from before its instance announced that it leaves. Fails if a live upstream
+	 * is lost until it has registered again, or if one that leaves gets requests again.
+	 */
+	@Test
+	void entriesOfOlderCopyAreNoRemovalAndNoReturn() {
+		this.directory.put(entry("lost", false));
+		this.directory.put(entry("leaving", true));
+		this.directory.markStoreRestored(NANOS_PER_SECOND);
+		this.directory.replaceAll(List.of(entry("leaving", false)), NANOS_PER_SECOND);
+		assertThat(eligibleIds()).containsExactly("lost");
+		this.directory.removeExpired(4 * NANOS_PER_SECOND);
+		assertThat(eligibleIds()).isEmpty();
+	}
+
 	/**
 	 * Pattern: engines crash and start again within seconds (trouble-3 of the badge
 	 * fleet). Fails if the entry of the former instance, which stays listed for some
