Register daemons again whose entries the store has lost

Cause: a daemon registered once. If the store came back from a copy without its entry, it stayed unknown to the others until a restart: they counted too few daemons, so that the shares of limits and of the retry budget were too large, and sent it no messages.

It now registers again when the store has come back, and whenever a list lacks its entry; for some seconds after the return, entries of the former list still count.

Evidence: registersAgainAfterStoreCameBackFromCopy and missingEntryIsWrittenAgain fail without the change.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -339,6 +339,7 @@
 		@Override
 		public void onStoreRestored() {
 			// The version in force stays until the operator has written it again.
+			Gateway.this.routerMembership.registerAgain();
 		}
 
 		@Override
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
@@ -5,8 +5,12 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
+import java.util.Set;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -57,7 +61,27 @@
 
 	private boolean registered;
 
-	private final CountDownLatch closed = new CountDownLatch(1);
+	/**
+	 * Whether the next list is the first since the start or since the store came back.
+	 */
+	private boolean first = true;
+
+	/** The entries of the last list. */
+	private List<StoredObject> lastEntries = List.of();
+
+	/**
+	 * Entries from before the store came back from an older copy. They count until the
+	 * daemons have registered again, so that shares of limits are not too large.
+	 */
+	private List<StoredObject> formerEntries = List.of();
+
+	/** Released to list at once. */
+	private final Semaphore wakeUps = new Semaphore(0);
+
+	/** Set when the store came back from an older copy, until the next list. */
+	private final AtomicBoolean restored = new AtomicBoolean();
+
+	private volatile boolean closed;
 
 	private final Thread thread = Supervisor.newThread("router-census", this::run);
 
@@ -75,41 +99,68 @@
 
 	private void run() {
 		Supervisor supervisor = new Supervisor("router-census");
-		boolean first = true;
 		Duration period = STARTUP_PERIOD;
 		try {
-			do {
+			while (!this.closed) {
 				supervisor.run(() -> this.registered = listAndRegister(this.registered));
-				if (this.closed.await(period.toMillis(), TimeUnit.MILLISECONDS)) {
-					return;
-				}
-				this.settled = this.registered && !first;
-				period = this.settled ? COUNT_PERIOD : STARTUP_PERIOD;
-				first = false;
+				this.wakeUps.tryAcquire(period.toMillis(), TimeUnit.MILLISECONDS);
+				period = prepareNextList() ? COUNT_PERIOD : STARTUP_PERIOD;
 			}
-			while (true);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
 	}
 
+	// Returns whether a list that is some seconds old serves.
+	boolean prepareNextList() {
+		if (this.restored.getAndSet(false)) {
+			this.formerEntries = this.lastEntries;
+			this.registered = false;
+			this.settled = false;
+			this.first = true;
+			return false;
+		}
+		this.settled = this.registered && !this.first;
+		this.first = false;
+		if (this.settled) {
+			this.formerEntries = List.of();
+		}
+		return this.settled;
+	}
+
+	// Lists and registers again at once, since the store came back from an older copy.
+	// Callable on any thread.
+	void registerAgain() {
+		this.restored.set(true);
+		this.wakeUps.release();
+	}
+
 	// Returns whether this daemon is registered.
 	boolean listAndRegister(boolean alreadyRegistered) {
 		Optional<StoredObject> ownEntry;
 		try {
-			List<StoredObject> entries = KindWatcher
+			List<StoredObject> listed = KindWatcher
 				.listAll((this.settled && this.self.isPresent()) ? this.store::listStale : this.store::list, KIND)
 				.objects();
+			List<StoredObject> entries = withFormerEntries(listed);
+			this.lastEntries = entries;
 			this.listener.onListed(entries.size(),
 					entries.stream().flatMap((entry) -> decode(entry).stream()).toList());
-			ownEntry = entries.stream().filter((entry) -> entry.name().equals(this.name)).findAny();
+			ownEntry = listed.stream().filter((entry) -> entry.name().equals(this.name)).findAny();
 		}
 		catch (PeerException ex) {
 			logger.atInfo().addKeyValue("cause", ex.toString()).log("daemons could not be listed");
 			return alreadyRegistered;
 		}
-		return alreadyRegistered || register(ownEntry);
+		return (alreadyRegistered && ownEntry.isPresent()) || register(ownEntry);
+	}
+
+	private List<StoredObject> withFormerEntries(List<StoredObject> listed) {
+		Set<String> keys = listed.stream().map(StoredObject::key).collect(Collectors.toSet());
+		return Stream
+			.concat(listed.stream(), this.formerEntries.stream().filter((entry) -> !keys.contains(entry.key())))
+			.toList();
 	}
 
 	private static Optional<Sibling> decode(StoredObject entry) {
@@ -137,7 +188,8 @@
 
 	@Override
 	public void close() {
-		this.closed.countDown();
+		this.closed = true;
+		this.wakeUps.release();
 	}
 
 	/**
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RouterMembershipTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RouterMembershipTest.java
@@ -1,23 +1,14 @@
 package org.mulberrycross.router.relay;
 
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
-import java.util.TreeMap;
 
 import org.junit.jupiter.api.Test;
 
 import org.mulberrycross.Address;
-import org.mulberrycross.platform.ObjectPage;
-import org.mulberrycross.platform.ObjectStore;
-import org.mulberrycross.platform.StorePosition;
-import org.mulberrycross.platform.StoredObject;
-import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.Sibling;
+import org.mulberrycross.sibling.http.SiblingEntryCodec;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -28,6 +19,8 @@
 
 	private static final Sibling SELF = new Sibling("router-1", new Address("10.0.0.1", 7000), "dc", 5);
 
+	private static final Sibling OTHER = new Sibling("router-2", new Address("10.0.0.2", 7000), "dc", 6);
+
 	private final MemoryStore store = new MemoryStore();
 
 	private int count;
@@ -72,43 +65,35 @@
 		assertThat(this.siblings).isEmpty();
 	}
 
-	/** Keeps objects in memory. */
-	private static final class MemoryStore implements ObjectStore {
-
-		private final Map<String, StoredObject> objects = new TreeMap<>();
-
-		@Override
-		public Optional<StoredObject> read(String key) {
-			return Optional.ofNullable(this.objects.get(key));
-		}
-
-		@Override
-		public ObjectPage list(Set<String> kinds, String after, int limit) {
-			return new ObjectPage(1, List.copyOf(this.objects.values()), false);
-		}
-
-		@Override
-		public OptionalLong create(String key, byte[] value) {
-			return (this.objects.putIfAbsent(key, new StoredObject(key, 1, value)) != null) ? OptionalLong.empty()
-					: OptionalLong.of(1);
-		}
-
-		@Override
-		public OptionalLong replace(String key, byte[] value, long expectedVersion) {
-			this.objects.put(key, new StoredObject(key, expectedVersion + 1, value));
-			return OptionalLong.of(expectedVersion + 1);
-		}
-
-		@Override
-		public boolean delete(String key, long expectedVersion) {
-			return false;
-		}
-
-		@Override
-		public WatchResult watch(Set<String> kinds, StorePosition after, Duration timeout) {
-			throw new UnsupportedOperationException();
-		}
+	/**
+	 * Pattern: the store comes back from a copy that lacks the entries of two daemons.
+	 * Fails if this daemon does not register again, or if the other one is not counted
+	 * until it could, so that each share of a limit is too large.
+	 */
+	@Test
+	void registersAgainAfterStoreCameBackFromCopy() {
+		RouterMembership membership = membership(Optional.of(SELF));
+		membership.listAndRegister(false);
+		this.store.create("router/router-2", SiblingEntryCodec.encode(OTHER));
+		membership.listAndRegister(true);
+		assertThat(this.count).isEqualTo(2);
+		this.store.objects.clear();
+		membership.registerAgain();
+		assertThat(membership.prepareNextList()).isFalse();
+		membership.listAndRegister(false);
+		assertThat(this.store.objects).containsKey("router/router-1");
+		assertThat(this.count).isEqualTo(2);
+		assertThat(this.siblings).containsExactly(SELF, OTHER);
+	}
 
+	/** Fails if a daemon whose entry is gone for whatever reason stays unregistered. */
+	@Test
+	void missingEntryIsWrittenAgain() {
+		RouterMembership membership = membership(Optional.of(SELF));
+		membership.listAndRegister(false);
+		this.store.objects.clear();
+		assertThat(membership.listAndRegister(true)).isTrue();
+		assertThat(this.store.objects).containsKey("router/router-1");
 	}
 
 }
