Write crash events again that the store has lost

Cause: an event was written once. If the store came back from a copy without it, a daemon that started later did not know of the part that crashes engines.

The daemon that published an event writes it again, for as long as it is retained.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashEventSharing.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/CrashEventSharing.java
@@ -1,11 +1,11 @@
 package org.mulberrycross.router.relay;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HexFormat;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -65,10 +65,10 @@
 
 	private final RandomGenerator random;
 
-	private final BlockingQueue<Publication> publications = new ArrayBlockingQueue<>(MAX_QUEUED_EVENTS);
+	private final BlockingQueue<StoreTask> tasks = new ArrayBlockingQueue<>(MAX_QUEUED_EVENTS);
 
 	/** The events that this daemon deletes when they expire, the oldest first. */
-	private final Deque<Expiry> expiries = new ArrayDeque<>();
+	private final Map<String, Expiry> expiries = new LinkedHashMap<>();
 
 	private final CountDownLatch closed = new CountDownLatch(1);
 
@@ -88,7 +88,8 @@
 
 	@Override
 	public void publish(CrashEvent event, Consumer<Boolean> onResult) {
-		if (!this.publications.offer(new Publication(event, onResult, System.nanoTime()))) {
+		Publication publication = new Publication(event, onResult, System.nanoTime());
+		if (!this.tasks.offer(() -> publishAndReport(publication))) {
 			logger.atWarn().addKeyValue("event", event).log("crash event not shared, too many wait");
 			this.controlThread.post(() -> onResult.accept(false));
 		}
@@ -98,9 +99,9 @@
 		Supervisor supervisor = new Supervisor("crash-events");
 		try {
 			while (this.closed.getCount() > 0) {
-				Publication next = this.publications.poll(EXPIRY_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+				StoreTask next = this.tasks.poll(EXPIRY_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
 				if (next != null) {
-					publishAndReport(next, supervisor);
+					supervisor.run(next::run);
 				}
 				supervisor.run(this::deleteExpired);
 			}
@@ -111,10 +112,14 @@
 	}
 
 	// The publisher always learns the result; a publication that failed is not one.
-	private void publishAndReport(Publication publication, Supervisor supervisor) throws InterruptedException {
+	private void publishAndReport(Publication publication) throws InterruptedException {
 		AtomicBoolean published = new AtomicBoolean();
-		supervisor.run(() -> published.set(publishWithRetries(publication)));
-		this.controlThread.post(() -> publication.onResult().accept(published.get()));
+		try {
+			published.set(publishWithRetries(publication));
+		}
+		finally {
+			this.controlThread.post(() -> publication.onResult().accept(published.get()));
+		}
 	}
 
 	// Returns whether the event was published by this call. A claim whose outcome is
@@ -124,11 +129,17 @@
 		long nowMillis = System.currentTimeMillis();
 		String key = KIND + "/" + name(event, nowMillis);
 		byte[] value = CrashEventCodec.encode(event, nowMillis);
-		while (System.nanoTime() - publication.queuedNanos() < MAX_DELAY.toNanos()) {
+		OptionalLong version = createWithRetries(key, value, publication.queuedNanos());
+		version.ifPresent((created) -> putExpiry(new Expiry(key, value, created, expiryNanos())));
+		return version.isPresent();
+	}
+
+	// Returns the version of the object that this call created, empty if it exists or the
+	// store can't be reached in time.
+	private OptionalLong createWithRetries(String key, byte[] value, long sinceNanos) throws InterruptedException {
+		while (System.nanoTime() - sinceNanos < MAX_DELAY.toNanos()) {
 			try {
-				OptionalLong version = this.store.create(key, value);
-				version.ifPresent((created) -> addExpiry(key, created));
-				return version.isPresent();
+				return this.store.create(key, value);
 			}
 			catch (PeerException ex) {
 				logger.atInfo()
@@ -138,11 +149,32 @@
 			}
 			if (this.closed.await(this.random.nextInt(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS),
 					TimeUnit.MILLISECONDS)) {
-				return false;
+				return OptionalLong.empty();
 			}
 		}
 		logger.atWarn().addKeyValue("key", key).log("crash event not shared in time");
-		return false;
+		return OptionalLong.empty();
+	}
+
+	// Creates the events of this daemon again that the store has lost.
+	private void createLostEvents() throws InterruptedException {
+		long startNanos = System.nanoTime();
+		List<Expiry> own;
+		synchronized (this.expiries) {
+			own = List.copyOf(this.expiries.values());
+		}
+		int created = 0;
+		for (Expiry event : own) {
+			OptionalLong version = createWithRetries(event.key(), event.value(), startNanos);
+			if (version.isPresent()) {
+				created++;
+				putExpiry(new Expiry(event.key(), event.value(), version.getAsLong(), event.expiresNanos()));
+			}
+		}
+		logger.atInfo()
+			.addKeyValue("events", own.size())
+			.addKeyValue("created", created)
+			.log("crash events written again");
 	}
 
 	// Only one daemon can create the claim of a trial within the time between trials.
@@ -155,17 +187,25 @@
 				+ HexFormat.of().toHexDigits(this.random.nextLong());
 	}
 
-	private void addExpiry(String key, long version) {
+	private static long expiryNanos() {
+		return System.nanoTime() + CrashAttribution.RETENTION.toNanos();
+	}
+
+	// Adds an event at the end, or replaces it where it is.
+	private void putExpiry(Expiry expiry) {
 		synchronized (this.expiries) {
-			this.expiries.add(new Expiry(key, version, System.nanoTime() + CrashAttribution.RETENTION.toNanos()));
+			this.expiries.put(expiry.key(), expiry);
 		}
 	}
 
 	private Optional<Expiry> takeExpired() {
 		synchronized (this.expiries) {
-			Expiry oldest = this.expiries.peek();
-			boolean expired = oldest != null && System.nanoTime() - oldest.expiresNanos() >= 0;
-			return expired ? Optional.of(this.expiries.remove()) : Optional.empty();
+			Optional<Expiry> expired = this.expiries.values()
+				.stream()
+				.findFirst()
+				.filter((oldest) -> System.nanoTime() - oldest.expiresNanos() >= 0);
+			expired.ifPresent((oldest) -> this.expiries.remove(oldest.key()));
+			return expired;
 		}
 	}
 
@@ -228,6 +268,9 @@
 	@Override
 	public void onStoreRestored() {
 		// The events known so far stay in force.
+		if (!this.tasks.offer(this::createLostEvents)) {
+			logger.warn("crash events not written again, too many wait");
+		}
 	}
 
 	@Override
@@ -256,8 +299,16 @@
 
 	}
 
+	/** A call of the store on the thread of this class. */
+	@FunctionalInterface
+	private interface StoreTask {
+
+		void run() throws InterruptedException;
+
+	}
+
 	/** An event in the store and when it is deleted. */
-	private record Expiry(String key, long version, long expiresNanos) {
+	private record Expiry(String key, byte[] value, long version, long expiresNanos) {
 
 	}
 
