Read the operators' objects again when the object API is in another era

Cause, by reading: ObjectMirror and HeadWatch went on from a revision like KindWatcher did, and ConfigurationPublisher from a head that may be lost. Our own stand-in of the object API names no eras yet, so that this shows only with a store that does.

--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ConfigurationPublisher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ConfigurationPublisher.java
@@ -57,6 +57,9 @@
 
 	private Optional<CachedHead> cachedHead = Optional.empty();
 
+	/** The era that the mirror was in when the cached head was read. */
+	private OptionalLong headEra = OptionalLong.empty();
+
 	/** The mirror's modification count at the last decision on its edits. */
 	private long decidedModificationCount = NOT_DECIDED;
 
@@ -175,9 +178,11 @@
 	}
 
 	private CachedHead loadHead() throws PeerException {
-		if (this.cachedHead.isPresent()) {
+		// What this publisher wrote in another era may be lost.
+		if (this.cachedHead.isPresent() && this.headEra.equals(this.mirror.position().era())) {
 			return this.cachedHead.get();
 		}
+		this.headEra = this.mirror.position().era();
 		Optional<StoredObject> head = this.store.read(ConfigurationHead.KEY);
 		CachedHead loaded = new CachedHead(OptionalLong.empty(), ConfigurationSnapshot.empty());
 		if (head.isPresent()) {
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/HeadWatch.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/HeadWatch.java
@@ -36,8 +36,8 @@
 	}
 
 	/**
-	 * Reads the head at the first call and after a failure, otherwise waits for it to
-	 * change; then applies the newest head.
+	 * Reads the head at the first call, after a failure and when the store has come back
+	 * from an older copy, otherwise waits for it to change; then applies the newest head.
 	 * @param wait the maximum wait for a change, zero or positive
 	 * @throws PeerException if a call to the store fails or a chunk was deleted because
 	 * the head has been replaced in the meantime; the next call then reads the head again
@@ -54,7 +54,7 @@
 			return;
 		}
 		WatchResult result = this.store.watch(KINDS, after.get(), wait);
-		if (result.compacted()) {
+		if (result.compacted() || !result.position().isSameEra(after.get())) {
 			return;
 		}
 		if (!result.changes().isEmpty()) {
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectMirror.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectMirror.java
@@ -73,6 +73,14 @@
 		return this.position.revision();
 	}
 
+	/**
+	 * Returns the position in the object API that this copy reflects.
+	 * @return the position, revision 0 if nothing was read yet
+	 */
+	StorePosition position() {
+		return this.position;
+	}
+
 	/**
 	 * Returns a counter that increases only when edits are read, unlike the revision,
 	 * which also changes with objects of other kinds.
@@ -84,7 +92,8 @@
 
 	/**
 	 * Updates this copy. Lists the objects at the first call and when the store has
-	 * compacted the changes since the last revision, otherwise waits for changes.
+	 * compacted the changes since the last position or is in another era, otherwise waits
+	 * for changes.
 	 * @param wait the maximum wait for changes, zero or positive
 	 * @throws PeerException if a call to the store fails; this copy then stays at its
 	 * previous revision
@@ -95,7 +104,7 @@
 			return;
 		}
 		WatchResult result = this.store.watch(KINDS, this.position, wait);
-		if (result.compacted()) {
+		if (result.compacted() || !result.position().isSameEra(this.position)) {
 			this.listed = false;
 			listAll();
 			return;
@@ -122,9 +131,10 @@
 		}
 		Optional<WatchResult> laterChanges = !page.position().equals(first)
 				? Optional.of(this.store.watch(KINDS, first, CATCH_UP_WAIT)) : Optional.empty();
-		// If the store has compacted the changes since the first page, the next refresh
-		// lists the objects again.
-		if (laterChanges.isPresent() && laterChanges.get().compacted()) {
+		// If the store has compacted the changes since the first page, or has come back
+		// from
+		// an older copy since then, the next refresh lists the objects again.
+		if (laterChanges.filter((result) -> result.compacted() || !result.position().isSameEra(first)).isPresent()) {
 			return;
 		}
 		this.edits.clear();
