Fix streams cut off while the only engine on their path is silent for a second

Cause: a stall report ended each attempt through the engine that had a retry left, without a look at whether another path exists. Where the engine alone holds its layers, the retry found none.

An attempt now goes on if there is no path without the stalled engine and without those that have failed the request or are stalled; the engine is avoided by new requests as before, and the timeouts of the response are the same.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
@@ -47,6 +47,8 @@
 
 	private final Predicate<RelayExchange> mayRetry;
 
+	private final OtherPaths otherPaths;
+
 	private final FailureHandler failureHandler;
 
 	private final EarlyMoves earlyMoves;
@@ -57,7 +59,8 @@
 
 	AttemptMonitor(ControlThread controlThread, UpstreamDirectory directory, UpstreamHealth health,
 			EngineSlowdowns slowdowns, EngineProber prober, InFlightRequests inFlight,
-			Predicate<RelayExchange> mayRetry, FailureHandler failureHandler, EarlyMoves earlyMoves) {
+			Predicate<RelayExchange> mayRetry, OtherPaths otherPaths, FailureHandler failureHandler,
+			EarlyMoves earlyMoves) {
 		this.controlThread = controlThread;
 		this.directory = directory;
 		this.health = health;
@@ -65,6 +68,7 @@
 		this.prober = prober;
 		this.inFlight = inFlight;
 		this.mayRetry = mayRetry;
+		this.otherPaths = otherPaths;
 		this.failureHandler = failureHandler;
 		this.earlyMoves = earlyMoves;
 	}
@@ -156,7 +160,9 @@
 		this.controlThread.post(() -> stalled.forEach((address) -> ejectStalledEngine(service, address)));
 	}
 
-	// Ejects a stalled engine and retries the requests whose paths contain it.
+	// Ejects a stalled engine and retries the requests whose paths contain it, except
+	// those
+	// that have no other path: an engine that is silent for a second may go on.
 	private void ejectStalledEngine(String service, Address address) {
 		Optional<String> id = this.directory.findByAddress(service, address).map((entry) -> entry.instance().id());
 		if (id.isEmpty()) {
@@ -166,13 +172,22 @@
 		for (RelayExchange exchange : this.inFlight.snapshot()) {
 			RelayAttempt attempt = exchange.currentAttempt();
 			if (attempt != null && !exchange.isFinished() && attempt.upstreamIds().contains(id.get())
-					&& this.mayRetry.test(exchange)) {
+					&& this.mayRetry.test(exchange)
+					&& this.otherPaths.existsWithout(id.get(), exchange, service, System.nanoTime())) {
 				this.failureHandler.fail(attempt, Set.of(id.get()), "engine " + id.get() + " is stalled",
 						attempt.wasSent());
 			}
 		}
 	}
 
+	/** Tells whether a request has another path. */
+	@FunctionalInterface
+	interface OtherPaths {
+
+		boolean existsWithout(String engineId, RelayExchange exchange, String service, long nowNanos);
+
+	}
+
 	/** Handles an attempt that ended without a complete response. */
 	@FunctionalInterface
 	interface FailureHandler {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -157,6 +157,18 @@
 			.findFirst();
 	}
 
+	// Returns whether a request that runs on a path of engines could run on one without a
+	// certain engine, and without those that have failed it or are stalled.
+	boolean hasPathWithout(String engineId, RelayExchange exchange, String service, long nowNanos) {
+		List<EngineInstance> others = this.eligible.entries(service, nowNanos)
+			.stream()
+			.flatMap((entry) -> entry.engine().stream())
+			.filter((engine) -> !engine.id().equals(engineId) && !exchange.failedUpstreams().contains(engine.id())
+					&& !this.health.isStalled(engine.id(), nowNanos))
+			.toList();
+		return findPath(service, requestTokens(exchange, service), others, nowNanos).isPresent();
+	}
+
 	private Optional<EnginePath> findPath(String service, RequestTokens tokens, List<EngineInstance> engines,
 			long nowNanos) {
 		EngineProfile profile = this.profiles.get(service);
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -194,6 +194,23 @@
 		assertThat(selectPath()).containsExactly("first", "second").inOrder();
 	}
 
+	/**
+	 * Pattern: a sound engine that alone holds its layers is silent for a second. Fails
+	 * if another path is seen where none is, so that its streams are broken off, or none
+	 * where there is one, so that streams wait for an engine that is lost.
+	 */
+	@Test
+	void findsPathWithoutStalledEngine() {
+		assertThat(this.selector.hasPathWithout("second", this.exchange, "model", 0)).isFalse();
+		put("other", 5, 10, 134);
+		assertThat(this.selector.hasPathWithout("second", this.exchange, "model", 0)).isTrue();
+		this.health.recordStall("other", 0);
+		assertThat(this.selector.hasPathWithout("second", this.exchange, "model", 0)).isFalse();
+		put("third", 5, 10, 134);
+		this.exchange.failedUpstreams().add("third");
+		assertThat(this.selector.hasPathWithout("second", this.exchange, "model", 0)).isFalse();
+	}
+
 	/**
 	 * Fails if a request waits, or gets a Retry-After that is too short, although all
 	 * engines that it could be sent to rest.
