Fix bytes that are no events passed on as a success without end

Callers of streams got lines that are no events, tens of MB for each, as a success with the engine's signature, until they gave up; the requests were never sent to another engine.

Cause: text that ends with an empty line passed for an event if its lines looked like names of fields, known or not, and until the first id each such text counted as progress, so that neither the limit on bytes without an event nor the timeout of the first event applied.

Text without any known field or comment is now no event and ends the attempt; until the first id, only data counts as progress. Remains: data without ids, without end, is passed on, since some engines number nothing.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
@@ -3,8 +3,10 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 /**
  * Splits a stream of server-sent events into complete events, so that a stream that is
@@ -20,6 +22,10 @@
 
 	private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
+	private static final List<byte[]> KNOWN_NAMES = Stream.of("data", "event", "id", "retry")
+		.map((name) -> name.getBytes(StandardCharsets.US_ASCII))
+		.toList();
+
 	private static final byte[] EMPTY = {};
 
 	private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
@@ -28,7 +34,7 @@
 
 	private long numberedEvents;
 
-	private boolean unnumberedData;
+	private long unnumberedEvents;
 
 	private boolean sequenceGap;
 
@@ -60,7 +66,7 @@
 				break;
 			}
 			OptionalLong id = parseId(bytes, start, end);
-			this.unnumberedData |= id.isEmpty() && hasField(bytes, start, end, DATA_FIELD);
+			this.unnumberedEvents += (id.isEmpty() && hasField(bytes, start, end, DATA_FIELD)) ? 1 : 0;
 			if (advanceTo(id)) {
 				complete.write(bytes, start, end - start);
 			}
@@ -122,7 +128,15 @@
 	 * @return true if this stream cannot be resumed
 	 */
 	public boolean hasUnnumberedData() {
-		return this.unnumberedData;
+		return this.unnumberedEvents > 0;
+	}
+
+	/**
+	 * Returns the number of events with data and without a numeric id.
+	 * @return the number of events since this stream was created
+	 */
+	public long unnumberedEvents() {
+		return this.unnumberedEvents;
 	}
 
 	/**
@@ -143,8 +157,44 @@
 	}
 
 	// Returns whether each line is a comment, or a field with a name of letters, digits
-	// and hyphens.
+	// and hyphens, and one of them at least is known. Fields of other names are ignored
+	// by
+	// clients, so that lines without any other are no event.
 	private static boolean isEvent(byte[] bytes, int start, int end) {
+		return hasValidNames(bytes, start, end) && hasKnownLine(bytes, start, end);
+	}
+
+	private static boolean hasKnownLine(byte[] bytes, int start, int end) {
+		boolean blank = true;
+		int lineStart = start;
+		while (lineStart < end) {
+			int nameEnd = lineStart;
+			while (nameEnd < end && bytes[nameEnd] != ':' && bytes[nameEnd] != '\r' && bytes[nameEnd] != '\n') {
+				nameEnd++;
+			}
+			if (isKnownName(bytes, lineStart, nameEnd) || (nameEnd == lineStart && bytes[nameEnd] == ':')) {
+				return true;
+			}
+			blank &= nameEnd == lineStart;
+			int lineEnd = nameEnd;
+			while (lineEnd < end && bytes[lineEnd] != '\n') {
+				lineEnd++;
+			}
+			lineStart = lineEnd + 1;
+		}
+		return blank;
+	}
+
+	private static boolean isKnownName(byte[] bytes, int start, int end) {
+		for (byte[] name : KNOWN_NAMES) {
+			if (Arrays.equals(bytes, start, end, name, 0, name.length)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static boolean hasValidNames(byte[] bytes, int start, int end) {
 		boolean inName = true;
 		for (int i = start; i < end; i++) {
 			if (bytes[i] == '\n') {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -296,6 +296,7 @@
 			return ForwardingResult.NO_PROGRESS;
 		}
 		OptionalLong previousId = this.eventStream.lastId();
+		long unnumberedEvents = this.eventStream.unnumberedEvents();
 		byte[] completeEvents = this.eventStream.extractEvents(part);
 		if (completeEvents.length > 0) {
 			startResponse(new ResponseHead(head.status(), head.headers(), OptionalLong.empty()));
@@ -311,7 +312,7 @@
 			return ForwardingResult.OVERSIZED_EVENT;
 		}
 		boolean newId = !this.eventStream.lastId().equals(previousId);
-		boolean unnumberedEvent = previousId.isEmpty() && completeEvents.length > 0;
+		boolean unnumberedEvent = previousId.isEmpty() && this.eventStream.unnumberedEvents() > unnumberedEvents;
 		return (newId || unnumberedEvent) ? ForwardingResult.PROGRESS : ForwardingResult.NO_PROGRESS;
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
@@ -55,7 +55,7 @@
 	 */
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\n", "{\"error\":1}\n\n",
-			"<html>\n\n", "internal error at line 7\n\n", "id: 3\nno such layer\n\n" })
+			"<html>\n\n", "internal error at line 7\n\n", "id: 3\nno such layer\n\n", "0123456789\n\n", "a: b\nc\n\n" })
 	void rejectsTextThatIsNoEvent(String text) {
 		EventStream stream = new EventStream(OptionalLong.empty());
 		byte[] sound = bytes(events(1, 3) + ": wait\n\nretry: 10\n\ndata\n\n");
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
@@ -8,6 +8,8 @@
 import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mulberrycross.Address;
 import org.mulberrycross.MonotonicClock;
@@ -116,6 +118,22 @@
 		assertThat(this.failures).containsExactly("the stream sends bytes without an event");
 	}
 
+	/**
+	 * Pattern: an engine in trouble answers with lines that are no events, or with
+	 * comments or empty events, without end. Fails if they count as progress until the
+	 * first event, so that they are passed on until the client gives up.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "0123456789\n\n", ": comment\n\n", "event: x\n\n", "retry: 1\n\n", "\n\n" })
+	void failsStreamWithoutFirstEvent(String text) {
+		RelayAttempt attempt = startAttempt(RouteKind.STREAM);
+		byte[] part = text.repeat(100).getBytes(StandardCharsets.UTF_8);
+		for (int bytes = 0; bytes <= 2 * RelayAttempt.MAX_BYTES_WITHOUT_EVENT; bytes += part.length) {
+			attempt.onData(part);
+		}
+		assertThat(this.failures).hasSize(1);
+	}
+
 	/**
 	 * Fails if many events without end, each below its limit, together fill the memory. A
 	 * daemon with 600 such streams ran out of it, and requests of others failed.
