Fix requests that offer another protocol and get no answer

Callers whose client offers HTTP/2 with the first request on a connection, as that of the JDK does, got no answer, and the connection was closed after the header timeout. The request was not run.

Cause: the codec takes what follows a head with Upgrade for the other protocol, so that the message has no end. A response that only advertises a protocol had no end either, and ended with 504 at the deadline.

The offer is now ignored in requests and responses, as by a server that knows no other protocol; the header was never passed on.

--- a/mulberrycross/src/main/java/org/mulberrycross/http/RelayServer.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/RelayServer.java
@@ -74,13 +74,11 @@
 			.build());
 	}
 
-	// The deprecated constructor is the only one that takes the maximum size of a head.
-	@SuppressWarnings("deprecation")
 	private static HttpServerFilter httpServerFilter() {
 		KeepAlive keepAlive = new KeepAlive();
 		keepAlive.setMaxRequestsCount(-1);
 		keepAlive.setIdleTimeoutInSeconds(-1);
-		return new HttpServerFilter(true, MAX_HEAD_BYTES, keepAlive, null);
+		return new RequestCodecFilter(MAX_HEAD_BYTES, keepAlive);
 	}
 
 	/**
--- a/mulberrycross/src/main/java/org/mulberrycross/http/ResponseCodecFilter.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/http/ResponseCodecFilter.java
@@ -62,6 +62,7 @@
 		ResponseFraming.fault(context.getMessage(), (HttpResponsePacket) header, lengthFields).ifPresent((fault) -> {
 			throw new IllegalStateException(fault);
 		});
+		RequestCodecFilter.ignoreUpgrade(header);
 		super.onHttpHeadersParsed(header, fields, context);
 	}
 
--- a/mulberrycross/src/test/java/org/mulberrycross/http/RequestFramingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/RequestFramingTest.java
@@ -105,6 +105,26 @@
 		return request("Transfer-Encoding: chunked", body);
 	}
 
+	/**
+	 * Pattern: the HTTP client of the JDK offers HTTP/2 with the first request on a
+	 * connection. Fails if such a request gets no answer, or if its body or the request
+	 * after it is not read.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "Upgrade: h2c\r\nHTTP2-Settings: AAEAAEAAAAIAAAAB\r\nConnection: Upgrade, HTTP2-Settings",
+			"Connection: Upgrade\r\nUPGRADE: websocket", "Upgrade: h2c, x/1" })
+	void ignoresOfferOfAnotherProtocol(String fields) throws Exception {
+		for (String body : List.of("", "ab")) {
+			HANDLED.clear();
+			try (Socket socket = RawHttp.connect(relayPort)) {
+				RawHttp.send(socket, request(fields + "\r\nContent-Length: " + body.length(), body) + SMUGGLED, false);
+				assertThat(RawHttp.readToClose(socket)).startsWith("HTTP/1.1 200 ");
+			}
+			assertThat(HANDLED.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("/a " + body);
+			assertThat(HANDLED.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("/smuggled ");
+		}
+	}
+
 	static Stream<Arguments> brokenRequests() {
 		return Stream.of(chunked("2\r\nab\r\nxyz\r\n\r\n"), chunked("xyz\r\nab\r\n0\r\n\r\n"),
 				chunked("2\r\nab\r\n\r\n\r\n"), chunked("\r\n\r\n"), chunked("2\r\nab\r\n-1\r\n\r\n"),
--- a/mulberrycross/src/test/java/org/mulberrycross/http/ResponseFramingTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/http/ResponseFramingTest.java
@@ -64,7 +64,9 @@
 			"'Transfer-Encoding:\r\n chunked', '2\r\nab\r\n0\r\n\r\n', ab",
 			"'Transfer-Encoding: chunked', '1;a=\"b\"\r\na\r\n1 ; c\r\nb\r\n0;d\r\nX-A: b\r\nX-B:\r\n\r\n', ab",
 			"'Transfer-Encoding: chunked', 'a\r\n0\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n', '0\r\n\r\n0\r\n\r\n'",
-			"'Content-Length: 2', ab, ab", "'Content-Length: 2\r\nContent-Length: 2', ab, ab" })
+			"'Content-Length: 2', ab, ab", "'Upgrade: h2,h2c\r\nContent-Length: 2', ab, ab",
+			"'Transfer-Encoding: chunked\r\nUpgrade: h2c', '2\r\nab\r\n0\r\n\r\n', ab",
+			"'Content-Length: 2\r\nContent-Length: 2', ab, ab" })
 	void completesSoundResponse(String fields, String body, String expectedBody) throws Exception {
 		assertOutcome("HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\n" + body, expectedBody);
 	}
