--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
@@ -157,9 +157,8 @@
 	}
 
 	// Returns whether each line is a comment, or a field with a name of letters, digits
-	// and hyphens, and one of them at least is known. Fields of other names are ignored
-	// by
-	// clients, so that lines without any other are no event.
+	// and hyphens, and one of them at least is known. Clients ignore fields of other
+	// names, so that lines without a known one are no event.
 	private static boolean isEvent(byte[] bytes, int start, int end) {
 		return hasValidNames(bytes, start, end) && hasKnownLine(bytes, start, end);
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/engine/OrderLease.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/OrderLease.java
@@ -128,8 +128,8 @@
 		if (resolved.held().exists() && stored.equals(resolved.held())) {
 			return Transition.withoutActions(resolved);
 		}
-		// A store that names no eras shows by a lower number that it came back from a
-		// copy.
+		// A store that names no eras shows by a lower number that it came back from an
+		// older copy.
 		LeaseState trusted = (stored.lease().fencing() < resolved.lastSeen().lease().fencing())
 				? restored(resolved, nowNanos) : resolved;
 		LeaseState observed = trusted.withoutHeldLease().withLastSeen(stored, nowNanos);
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectMirror.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectMirror.java
@@ -132,8 +132,7 @@
 		Optional<WatchResult> laterChanges = !page.position().equals(first)
 				? Optional.of(this.store.watch(KINDS, first, CATCH_UP_WAIT)) : Optional.empty();
 		// If the store has compacted the changes since the first page, or has come back
-		// from
-		// an older copy since then, the next refresh lists the objects again.
+		// from an older copy since then, the next refresh lists the objects again.
 		if (laterChanges.filter((result) -> result.compacted() || !result.position().isSameEra(first)).isPresent()) {
 			return;
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
@@ -161,8 +161,7 @@
 	}
 
 	// Ejects a stalled engine and retries the requests whose paths contain it, except
-	// those
-	// that have no other path: an engine that is silent for a second may go on.
+	// those that have no other path: an engine that is silent for a second may go on.
 	private void ejectStalledEngine(String service, Address address) {
 		Optional<String> id = this.directory.findByAddress(service, address).map((entry) -> entry.instance().id());
 		if (id.isEmpty()) {
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeLog.java
@@ -55,9 +55,8 @@
 	}
 
 	// Adds the result of a watch that began after a position of the same era, and the
-	// time
-	// up to which it is known to be complete. The log starts there if it does not end
-	// there.
+	// time up to which it is known to be complete. The log starts there if it does not
+	// end there.
 	void append(StorePosition after, WatchResult result, ClockReading asOf) {
 		if (!isKnown() || !after.equals(this.position) || !after.isCoveredBy(result.position())) {
 			restart(result.position().withRevision(Math.min(after.revision(), result.revision())), asOf);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -36,10 +36,11 @@
 	private static final Logger logger = LoggerFactory.getLogger(KindWatcher.class);
 
 	/**
-	 * Timeout of a watch while the store is unavailable. The recovery of the store is
-	 * thus detected within a second, even if calls hang until then instead of failing.
+	 * Timeout of a watch that finds out whether the store is available again, and in
+	 * which era. The recovery of the store is thus detected within a second, even if
+	 * calls hang until then instead of failing.
 	 */
-	private static final Duration UNAVAILABLE_WATCH_TIMEOUT = Duration.ofMillis(100);
+	private static final Duration PROBE_WATCH_TIMEOUT = Duration.ofMillis(100);
 
 	/** For the watcher that probes for the recovery of the store itself. */
 	static final Runnable NO_RECOVERY_WAIT = () -> {
@@ -294,13 +295,12 @@
 
 	private Duration nextWatchTimeout() {
 		if (!this.storeAvailable) {
-			return UNAVAILABLE_WATCH_TIMEOUT;
+			return PROBE_WATCH_TIMEOUT;
 		}
 		// A hub that is lost may have been lost with the store. A store that came back
-		// from
-		// a copy says so only at the end of the watch, if nothing changes.
+		// from a copy says so only at the end of the watch, if nothing changes.
 		if (this.confirmedBySibling && this.position.era().isPresent()) {
-			return UNAVAILABLE_WATCH_TIMEOUT;
+			return PROBE_WATCH_TIMEOUT;
 		}
 		WatchTiming current = this.timing.get();
 		// After a sibling has failed, the time until a silent connection to the store is
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -237,9 +237,8 @@
 	}
 
 	// Returns whether the lease outlasts an order that is sent now, and its record was
-	// not
-	// lost since. Its monotonic clock
-	// stops while the machine is suspended, so the age on the wall clock counts as well.
+	// not lost since. The monotonic clock stops while the machine is suspended, so the
+	// age on the wall clock counts as well.
 	private boolean isValidForOrder(LeaseGrant grant) {
 		ClockReading now = this.clocks.get();
 		return this.leaseExecutor.isEraCurrent() && grant.isValidFor(ORDER_TIMEOUT, now.monotonicNanos())
