--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectHandler.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectHandler.java
@@ -14,10 +14,10 @@
 import org.glassfish.grizzly.http.server.Response;
 
 import org.mulberrycross.NotRunException;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.http.HttpMessages;
 import org.mulberrycross.http.Json;
 import org.mulberrycross.platform.ObjectPage;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.platform.http.ObjectMessages;
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectTable.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/platform/ObjectTable.java
@@ -11,10 +11,10 @@
 import org.mulberrycross.NotRunException;
 import org.mulberrycross.Peer;
 import org.mulberrycross.Step;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 
--- a/mulberrycross-standins/src/main/java/org/mulberrycross/standins/service/CountingObjectStore.java
+++ b/mulberrycross-standins/src/main/java/org/mulberrycross/standins/service/CountingObjectStore.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.atomic.LongAdder;
 
 import org.mulberrycross.NotRunException;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.standins.platform.ObjectTable;
--- a/mulberrycross-standins/src/test/java/org/mulberrycross/platform/EraStore.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/EraStore.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import org.mulberrycross.PeerException;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.standins.platform.ObjectTable;
 
 /**
--- a/mulberrycross-standins/src/test/java/org/mulberrycross/platform/FaultyStore.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/FaultyStore.java
@@ -12,6 +12,7 @@
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
+import org.mulberrycross.StorePosition;
 
 /**
  * Object store that randomly fails, loses responses and runs other actors between the
--- a/mulberrycross-standins/src/test/java/org/mulberrycross/platform/ObjectStoreContractTest.java
+++ b/mulberrycross-standins/src/test/java/org/mulberrycross/platform/ObjectStoreContractTest.java
@@ -10,6 +10,7 @@
 
 import org.mulberrycross.NotRunException;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.StorePosition;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/StorePosition.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/StorePosition.java
@@ -1,4 +1,4 @@
-package org.mulberrycross.platform;
+package org.mulberrycross;
 
 import java.util.OptionalLong;
 
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/HeadWatch.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/HeadWatch.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.mulberrycross.PeerException;
+import org.mulberrycross.StorePosition;
 
 /**
  * Watches the head in the object API and passes it to a follower. Not thread-safe; owned
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectMirror.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectMirror.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 
 import org.mulberrycross.PeerException;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.operator.ObjectKind;
 import org.mulberrycross.operator.OperatorObject;
 import org.mulberrycross.operator.ValidationError;
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectPage.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectPage.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.mulberrycross.StorePosition;
+
 /**
  * One page of a list of objects. Immutable and thread-safe.
  *
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/ObjectStore.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.mulberrycross.PeerException;
+import org.mulberrycross.StorePosition;
 
 /**
  * The platform's object API. Implementations are thread-safe and block for a bounded
--- a/mulberrycross/src/main/java/org/mulberrycross/platform/http/HttpObjectStore.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/platform/http/HttpObjectStore.java
@@ -15,6 +15,7 @@
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.http.HttpCall;
 import org.mulberrycross.http.HttpClient;
 import org.mulberrycross.http.HttpReply;
@@ -22,7 +23,6 @@
 import org.mulberrycross.platform.ObjectChange;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeFeed.java
@@ -13,8 +13,8 @@
 import org.slf4j.LoggerFactory;
 
 import org.mulberrycross.MonotonicClock;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.platform.ObjectChange;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.ChangeSource;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeLog.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ChangeLog.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.platform.ObjectChange;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.WatchResult;
 
 /**
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/HubWatch.java
@@ -11,7 +11,7 @@
 import org.mulberrycross.Address;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.PeerException;
-import org.mulberrycross.platform.StorePosition;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.sibling.ChangesClient;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/KindWatcher.java
@@ -19,10 +19,10 @@
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.Supervisor;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingChanges.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingChanges.java
@@ -5,8 +5,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.platform.ObjectChange;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.ChangesReply;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingWatch.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingWatch.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
-import org.mulberrycross.platform.StorePosition;
+import org.mulberrycross.StorePosition;
 
 /**
  * Asks a sibling for the changes of one kind of objects before the store is asked.
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesQuery.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesQuery.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 
-import org.mulberrycross.platform.StorePosition;
+import org.mulberrycross.StorePosition;
 
 /**
  * Asks a sibling for the changes of the objects of a kind. Immutable and thread-safe.
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesReply.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/ChangesReply.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 
-import org.mulberrycross.platform.StorePosition;
+import org.mulberrycross.StorePosition;
 
 /**
  * Reply of a sibling to a {@link ChangesQuery}. Immutable and thread-safe.
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeFeedTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/ChangeFeedTest.java
@@ -7,8 +7,8 @@
 
 import org.junit.jupiter.api.Test;
 
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.platform.ObjectChange;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 import org.mulberrycross.sibling.ChangesQuery;
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/HubWatchTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/HubWatchTest.java
@@ -14,7 +14,7 @@
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Step;
-import org.mulberrycross.platform.StorePosition;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
 import org.mulberrycross.sibling.ChangesReply.Status;
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/MemoryStore.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/MemoryStore.java
@@ -8,9 +8,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentSkipListMap;
 
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.platform.ObjectPage;
 import org.mulberrycross.platform.ObjectStore;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.platform.StoredObject;
 import org.mulberrycross.platform.WatchResult;
 
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/SiblingChangesTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/SiblingChangesTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import org.mulberrycross.platform.StorePosition;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.sibling.ChangesReply;
 import org.mulberrycross.sibling.SharedChange;
 
--- a/mulberrycross/src/test/java/org/mulberrycross/sibling/http/ChangesCodecTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/sibling/http/ChangesCodecTest.java
@@ -12,8 +12,8 @@
 
 import org.mulberrycross.Peer;
 import org.mulberrycross.PeerException;
+import org.mulberrycross.StorePosition;
 import org.mulberrycross.http.HttpReply;
-import org.mulberrycross.platform.StorePosition;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
 import org.mulberrycross.sibling.ChangesReply.Status;
