Fix daemons that start with the older version of a store that came back

A daemon that starts has only the store's word for which version is the newest, and the store may have lost a version that it had confirmed. Running daemons were mended by ignoring lower versions; one that starts has nothing to compare with.

A daemon now asks up to 16 siblings, drawn at random, for a version newer than the store's before it applies its first one, and holds that back for 1 s at most. It asks them again when it learns of a return itself, since it may have missed the version while it was cut off. The newest version wins, so a sibling that has started after the return as well does no harm; a build without the query answers 404, which counts as an answer that knows nothing. Queries name the receiver, and the sender must be listed; a sibling that does not list it reads the list again. Stores that name no eras cost no query and no delay.

Ruled out: a record of our own in the store, which a daemon may read before the others have written it again.

--- a/mulberrycross/src/main/java/org/mulberrycross/Step.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/Step.java
@@ -82,6 +82,9 @@
 	/** Asking a sibling daemon whether it reaches the upstreams. */
 	ASK_REACH,
 
+	/** Asking a sibling daemon for the newest configuration. */
+	ASK_CONFIGURATION,
+
 	/** Exchanging figures on work with a sibling daemon. */
 	EXCHANGE_LOAD,
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -99,6 +99,8 @@
 	/** Empty if the daemons do not tell each other what they have running. */
 	private final Optional<LoadExchange> loadExchange;
 
+	private final ConfigurationSync configurationSync;
+
 	private final RouterMembership routerMembership;
 
 	private final PlacementRunner placementRunner;
@@ -165,7 +167,16 @@
 			.map((network) -> network.createLoadExchange(this.controlThread, this.relayControl, relayMetrics,
 					this.clock));
 		this.routerMembership = new RouterMembership(adapter.store(), settings.name(),
-				this.siblingNetwork.map(SiblingNetwork::self), this::updateDaemons);
+				this.siblingNetwork.map(SiblingNetwork::self), this::updateDaemons, this.clock);
+		this.configurationSync = new ConfigurationSync(this.relayControl::apply, (ago) -> {
+		}, () -> adapter.store().era().isPresent(),
+				this.siblingNetwork
+					.map((network) -> network.queryConfigurations(this.controlThread, adapter.configurationDecoder())),
+				this.clock, new SplittableRandom(secureRandom.nextLong()));
+		this.siblingNetwork.ifPresent((network) -> network.answerConfigurationQueries(
+				(version, onReply) -> this.controlThread
+					.post(() -> onReply.accept(this.configurationSync.answer(version))),
+				(sender) -> this.routerMembership.refresh()));
 		this.placementRunner = new PlacementRunner(this.placementView::get,
 				new OrderLease(settings.name(), PlacementRunner.LEASE_DURATION),
 				new LeaseActionExecutor(new ObjectLeaseStore(adapter.store()), PlacementRunner.LEASE_NAME),
@@ -184,7 +195,13 @@
 	private void updateDaemons(int count, List<Sibling> siblings) {
 		this.daemonCount = Math.max(1, count);
 		this.siblingNetwork.ifPresent((network) -> network.update(count, siblings));
-		this.controlThread.post(() -> this.relayControl.updateDaemonCount(count));
+		List<Sibling> others = siblings.stream()
+			.filter((sibling) -> !sibling.name().equals(this.settings.name()))
+			.toList();
+		this.controlThread.post(() -> {
+			this.relayControl.updateDaemonCount(count);
+			this.configurationSync.updateSiblings(others);
+		});
 	}
 
 	private static String newLeaseToken(SecureRandom random) {
@@ -212,6 +229,7 @@
 		this.routerMembership.start();
 		this.placementRunner.start();
 		this.controlThread.scheduleWithFixedDelay(RelayControl.CHECK_PERIOD, this.relayControl::runPeriodicChecks);
+		this.controlThread.scheduleWithFixedDelay(RelayControl.CHECK_PERIOD, this.configurationSync::check);
 		this.controlThread.scheduleWithFixedDelay(HOUSEKEEPING_PERIOD, this::runHousekeeping);
 		logger.atInfo()
 			.addKeyValue("instance", this.settings.name())
@@ -340,6 +358,7 @@
 		public void onStoreRestored() {
 			// The version in force stays until the operator has written it again.
 			Gateway.this.routerMembership.registerAgain();
+			Gateway.this.controlThread.post(Gateway.this.configurationSync::recordRestoration);
 		}
 
 		@Override
@@ -353,11 +372,11 @@
 		}
 
 		private void applyVersions(List<StoredObject> objects, ClockReading asOf) {
-			List<ServingConfiguration> versions = objects.stream()
-				.flatMap((object) -> this.decoder.decode(object).stream())
+			List<KnownConfiguration> versions = objects.stream()
+				.flatMap((object) -> KnownConfiguration.decode(object, this.decoder).stream())
 				.toList();
 			Gateway.this.controlThread.post(() -> {
-				versions.forEach(Gateway.this.relayControl::apply);
+				Gateway.this.configurationSync.update(versions);
 				Gateway.this.relayControl.confirmConfiguration(asOf);
 			});
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RouterMembership.java
@@ -15,6 +15,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.PeerException;
 import org.mulberrycross.Supervisor;
 import org.mulberrycross.platform.ObjectStore;
@@ -42,6 +43,9 @@
 	 */
 	private static final Duration STARTUP_PERIOD = Duration.ofSeconds(3);
 
+	/** Minimum time between two lists that siblings which are not listed bring about. */
+	static final Duration MIN_REFRESH_PERIOD = Duration.ofSeconds(1);
+
 	/** Period of counting; the number of daemons changes within minutes. */
 	private static final Duration COUNT_PERIOD = Duration.ofSeconds(30);
 
@@ -53,6 +57,8 @@
 
 	private final Listener listener;
 
+	private final MonotonicClock clock;
+
 	/**
 	 * Whether the daemons that started together are listed. From then on, a list that is
 	 * some seconds old serves as well and costs less.
@@ -81,16 +87,23 @@
 	/** Set when the store came back from an older copy, until the next list. */
 	private final AtomicBoolean restored = new AtomicBoolean();
 
+	/** Set when a daemon that is not listed has sent a message, until the next list. */
+	private final AtomicBoolean refreshing = new AtomicBoolean();
+
+	/** When the last list began, on the monotonic clock. */
+	private volatile long lastListNanos;
+
 	private volatile boolean closed;
 
 	private final Thread thread = Supervisor.newThread("router-census", this::run);
 
 	// A daemon without an address for messages registers its name only.
-	RouterMembership(ObjectStore store, String name, Optional<Sibling> self, Listener listener) {
+	RouterMembership(ObjectStore store, String name, Optional<Sibling> self, Listener listener, MonotonicClock clock) {
 		this.store = Objects.requireNonNull(store, "store");
 		this.name = Objects.requireNonNull(name, "name");
 		this.self = Objects.requireNonNull(self, "self");
 		this.listener = Objects.requireNonNull(listener, "listener");
+		this.clock = Objects.requireNonNull(clock, "clock");
 	}
 
 	void start() {
@@ -102,7 +115,7 @@
 		Duration period = STARTUP_PERIOD;
 		try {
 			while (!this.closed) {
-				supervisor.run(() -> this.registered = listAndRegister(this.registered));
+				supervisor.run(this::listAndUpdate);
 				this.wakeUps.tryAcquire(period.toMillis(), TimeUnit.MILLISECONDS);
 				period = prepareNextList() ? COUNT_PERIOD : STARTUP_PERIOD;
 			}
@@ -112,6 +125,10 @@
 		}
 	}
 
+	void listAndUpdate() {
+		this.registered = listAndRegister(this.registered);
+	}
+
 	// Returns whether a list that is some seconds old serves.
 	boolean prepareNextList() {
 		if (this.restored.getAndSet(false)) {
@@ -121,6 +138,9 @@
 			this.first = true;
 			return false;
 		}
+		if (this.refreshing.get()) {
+			return this.settled;
+		}
 		this.settled = this.registered && !this.first;
 		this.first = false;
 		if (this.settled) {
@@ -136,12 +156,23 @@
 		this.wakeUps.release();
 	}
 
+	// Lists at once, without entries that are some seconds old, since a daemon that is
+	// not listed has sent a message. Callable on any thread.
+	void refresh() {
+		boolean listedLately = this.clock.nanos() - this.lastListNanos < MIN_REFRESH_PERIOD.toNanos();
+		if (!listedLately && this.refreshing.compareAndSet(false, true)) {
+			this.wakeUps.release();
+		}
+	}
+
 	// Returns whether this daemon is registered.
 	boolean listAndRegister(boolean alreadyRegistered) {
+		boolean staleServes = this.settled && this.self.isPresent() && !this.refreshing.getAndSet(false);
+		this.lastListNanos = this.clock.nanos();
 		Optional<StoredObject> ownEntry;
 		try {
 			List<StoredObject> listed = KindWatcher
-				.listAll((this.settled && this.self.isPresent()) ? this.store::listStale : this.store::list, KIND)
+				.listAll(staleServes ? this.store::listStale : this.store::list, KIND)
 				.objects();
 			List<StoredObject> entries = withFormerEntries(listed);
 			this.lastEntries = entries;
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/SiblingNetwork.java
@@ -13,12 +13,17 @@
 import org.mulberrycross.ControlThread;
 import org.mulberrycross.MonotonicClock;
 import org.mulberrycross.http.HttpClient;
+import org.mulberrycross.sibling.ConfigurationClient;
+import org.mulberrycross.sibling.ConfigurationReply;
+import org.mulberrycross.sibling.ConfigurationSource;
 import org.mulberrycross.sibling.ReachClient;
 import org.mulberrycross.sibling.Sibling;
 import org.mulberrycross.sibling.SiblingCalls;
 import org.mulberrycross.sibling.SiblingClient;
 import org.mulberrycross.sibling.SiblingDirectory;
 import org.mulberrycross.sibling.WorkLedger;
+import org.mulberrycross.sibling.http.ConfigurationHandler;
+import org.mulberrycross.sibling.http.HttpConfigurationClient;
 import org.mulberrycross.sibling.http.HttpReachClient;
 import org.mulberrycross.sibling.http.HttpSiblingClient;
 import org.mulberrycross.sibling.http.HttpWorkClient;
@@ -47,6 +52,12 @@
 
 	private static final int MAX_QUEUED_REACH_CALLS = 32;
 
+	/** Several times the round trip between two data centres, for a large object. */
+	private static final Duration CONFIGURATION_CALL_TIMEOUT = Duration.ofMillis(400);
+
+	/** Half of the queries of a round, so that two timeouts end before the hold does. */
+	private static final int CONFIGURATION_CALL_THREADS = ConfigurationSync.MAX_ASKED / 2;
+
 	private final SiblingDirectory directory;
 
 	private final SiblingServer server;
@@ -59,6 +70,9 @@
 	/** The questions whether siblings reach the upstreams, empty until they are asked. */
 	private Optional<SiblingCalls> reachCalls = Optional.empty();
 
+	/** The queries for the newest configuration, empty until they are asked. */
+	private Optional<SiblingCalls> configurationCalls = Optional.empty();
+
 	private Runnable sharingStarter = () -> {
 	};
 
@@ -121,6 +135,26 @@
 		this.reachCalls = Optional.of(calls);
 	}
 
+	// Returns how siblings are asked for the newest configuration.
+	ConfigurationSync.SiblingQuery queryConfigurations(ControlThread controlThread,
+			ObjectDecoder<ServingConfiguration> decoder) {
+		SiblingCalls calls = new SiblingCalls(controlThread, CONFIGURATION_CALL_THREADS, ConfigurationSync.MAX_ASKED);
+		this.configurationCalls = Optional.of(calls);
+		ConfigurationClient configurationClient = new HttpConfigurationClient(this.client, self().name(),
+				CONFIGURATION_CALL_TIMEOUT);
+		return (sibling, version, onAnswer, onFailure) -> calls.start(() -> {
+			ConfigurationReply reply = configurationClient.request(sibling, version);
+			return new ConfigurationSync.SiblingAnswer(
+					reply.newer().flatMap((change) -> KnownConfiguration.decode(change, decoder)), reply.restoredAgo());
+		}, onAnswer, onFailure);
+	}
+
+	// Answers the queries of siblings for the newest configuration once the server
+	// starts.
+	void answerConfigurationQueries(ConfigurationSource source, Consumer<String> unknownSenderListener) {
+		new ConfigurationHandler(this.directory, source, unknownSenderListener).register(this.server);
+	}
+
 	// Shares the limits of upstreams with the other daemons. Their requests are answered
 	// once the server starts.
 	void shareLimits(ControlThread controlThread, UpstreamLimits limits, MonotonicClock clock) {
@@ -155,6 +189,7 @@
 	public void close() {
 		this.limitCalls.ifPresent(SiblingCalls::close);
 		this.reachCalls.ifPresent(SiblingCalls::close);
+		this.configurationCalls.ifPresent(SiblingCalls::close);
 		this.server.close();
 		this.client.close();
 	}
--- a/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesCodec.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/sibling/http/ChangesCodec.java
@@ -1,10 +1,8 @@
 package org.mulberrycross.sibling.http;
 
-import java.net.URLDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -17,6 +15,7 @@
 import org.mulberrycross.StorePosition;
 import org.mulberrycross.http.HttpReply;
 import org.mulberrycross.http.Json;
+import org.mulberrycross.http.QueryString;
 import org.mulberrycross.sibling.ChangesQuery;
 import org.mulberrycross.sibling.ChangesReply;
 import org.mulberrycross.sibling.SharedChange;
@@ -69,13 +68,14 @@
 	 * @return the query, or empty if it is not valid
 	 */
 	public static Optional<ChangesQuery> decodeQuery(String target) {
-		Map<String, String> parameters = parameters(target);
+		QueryString parameters = QueryString.of(target);
 		try {
-			String kind = URLDecoder.decode(parameters.getOrDefault("kind", ""), StandardCharsets.UTF_8);
-			long after = Long.parseLong(parameters.getOrDefault("after", ""));
-			int waitMillis = Integer.parseInt(parameters.getOrDefault("wait_ms", ""));
-			OptionalLong era = parameters.containsKey("era") ? OptionalLong.of(Long.parseLong(parameters.get("era")))
-					: OptionalLong.empty();
+			String kind = parameters.value("kind").orElseThrow(IllegalArgumentException::new);
+			long after = Long.parseLong(parameters.value("after").orElse(""));
+			int waitMillis = Integer.parseInt(parameters.value("wait_ms").orElse(""));
+			OptionalLong era = parameters.value("era")
+				.map((text) -> OptionalLong.of(Long.parseLong(text)))
+				.orElse(OptionalLong.empty());
 			return Optional.of(new ChangesQuery(kind, new StorePosition(era, after), Duration.ofMillis(waitMillis)));
 		}
 		catch (IllegalArgumentException ex) {
@@ -89,24 +89,7 @@
 	 * @return the name, or empty if it is missing
 	 */
 	public static Optional<String> decodeSender(String target) {
-		try {
-			return Optional.ofNullable(parameters(target).get("from"))
-				.map((name) -> URLDecoder.decode(name, StandardCharsets.UTF_8));
-		}
-		catch (IllegalArgumentException ex) {
-			return Optional.empty();
-		}
-	}
-
-	private static Map<String, String> parameters(String target) {
-		Map<String, String> parameters = new HashMap<>();
-		for (String parameter : target.substring(target.indexOf('?') + 1).split("&")) {
-			int separator = parameter.indexOf('=');
-			if (separator > 0) {
-				parameters.put(parameter.substring(0, separator), parameter.substring(separator + 1));
-			}
-		}
-		return parameters;
+		return QueryString.of(target).value("from");
 	}
 
 	static int statusCode(ChangesReply reply) {
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/MemoryStore.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/MemoryStore.java
@@ -21,11 +21,20 @@
 
 	final Map<String, StoredObject> objects = new ConcurrentSkipListMap<>();
 
+	/** The number of lists that may have been some seconds old. */
+	int staleLists;
+
 	@Override
 	public Optional<StoredObject> read(String key) {
 		return Optional.ofNullable(this.objects.get(key));
 	}
 
+	@Override
+	public ObjectPage listStale(Set<String> kinds, String after, int limit) {
+		this.staleLists++;
+		return list(kinds, after, limit);
+	}
+
 	@Override
 	public ObjectPage list(Set<String> kinds, String after, int limit) {
 		return new ObjectPage(1, List.copyOf(this.objects.values()), false);
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RouterMembershipTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RouterMembershipTest.java
@@ -23,6 +23,8 @@
 
 	private final MemoryStore store = new MemoryStore();
 
+	private long nowNanos;
+
 	private int count;
 
 	private List<Sibling> siblings = List.of();
@@ -31,7 +33,7 @@
 		return new RouterMembership(this.store, "router-1", self, (daemonCount, listed) -> {
 			this.count = daemonCount;
 			this.siblings = listed;
-		});
+		}, () -> this.nowNanos);
 	}
 
 	@Test
@@ -96,4 +98,30 @@
 		assertThat(this.store.objects).containsKey("router/router-1");
 	}
 
+	/**
+	 * Pattern: a daemon that was just added sends a message. Fails if its entry is looked
+	 * for in a list that may be too old to contain it, or if each message brings about a
+	 * list.
+	 */
+	@Test
+	void refreshReadsListThatIsNotStale() {
+		RouterMembership membership = membership(Optional.of(SELF));
+		for (int i = 0; i < 3; i++) {
+			membership.listAndUpdate();
+			membership.prepareNextList();
+		}
+		assertThat(this.store.staleLists).isEqualTo(1);
+		membership.refresh();
+		assertThat(membership.prepareNextList()).isTrue();
+		membership.listAndUpdate();
+		assertThat(this.store.staleLists).isEqualTo(2);
+		this.nowNanos += RouterMembership.MIN_REFRESH_PERIOD.toNanos();
+		membership.refresh();
+		assertThat(membership.prepareNextList()).isTrue();
+		membership.listAndUpdate();
+		assertThat(this.store.staleLists).isEqualTo(2);
+		membership.listAndUpdate();
+		assertThat(this.store.staleLists).isEqualTo(3);
+	}
+
 }
