Fix a daemon that orders while the holder of a lost lease still may

Callers of model services could lose streams: a daemon that started after the store had come back from a copy without the record of the placement lease acquired the lease at once, while its former holder, which had not learned of the return yet, could order for up to 4 s more. Engines that had not seen the new fencing number took orders of both.

Daemons that live through the return wait for one duration; one that starts did not know of the return.

Siblings now tell a daemon that starts how long ago they have learned of a return, and it acquires the lease one duration after that at the earliest. It plans nothing before they have answered, since it has no configuration until then.

Evidence: ordersNothingWhileHolderOfLostLeaseMayAct fails without the wait (one order at once) and passes. That both ordered was not played with processes.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/Gateway.java
@@ -168,8 +168,8 @@
 					this.clock));
 		this.routerMembership = new RouterMembership(adapter.store(), settings.name(),
 				this.siblingNetwork.map(SiblingNetwork::self), this::updateDaemons, this.clock);
-		this.configurationSync = new ConfigurationSync(this.relayControl::apply, (ago) -> {
-		}, () -> adapter.store().era().isPresent(),
+		this.configurationSync = new ConfigurationSync(this.relayControl::apply, this::handleSiblingRestoration,
+				() -> adapter.store().era().isPresent(),
 				this.siblingNetwork
 					.map((network) -> network.queryConfigurations(this.controlThread, adapter.configurationDecoder())),
 				this.clock, new SplittableRandom(secureRandom.nextLong()));
@@ -204,6 +204,13 @@
 		});
 	}
 
+	// The holder of a lease whose record was lost with the store may still act on it.
+	private void handleSiblingRestoration(Duration ago) {
+		if (ago.compareTo(PlacementRunner.LEASE_DURATION) < 0) {
+			this.placementRunner.awaitFormerHolder(ago);
+		}
+	}
+
 	private static String newLeaseToken(SecureRandom random) {
 		byte[] bytes = new byte[LEASE_TOKEN_BYTES];
 		random.nextBytes(bytes);
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/PlacementRunner.java
@@ -115,6 +115,13 @@
 	 */
 	private boolean recordReadDue;
 
+	/**
+	 * The monotonic time at which a sibling learned that the store came back from an
+	 * older copy, if that was shortly before this daemon started. Empty once it is
+	 * handled.
+	 */
+	private volatile OptionalLong siblingRestoredNanos = OptionalLong.empty();
+
 	/**
 	 * Set when an engine has seen a higher fencing number, which means that another
 	 * daemon holds the lease.
@@ -147,6 +154,13 @@
 		}
 	}
 
+	// Does not acquire the lease until one duration has passed since a sibling learned
+	// that the store came back from an older copy: the holder of a lease whose record was
+	// lost may still act on it. Callable on any thread.
+	void awaitFormerHolder(Duration restoredAgo) {
+		this.siblingRestoredNanos = OptionalLong.of(this.clocks.get().monotonicNanos() - restoredAgo.toNanos());
+	}
+
 	// Plans once, and sends the orders if this daemon holds the lease.
 	void planAndOrder() throws InterruptedException {
 		PlacementView view = this.viewSource.get();
@@ -154,11 +168,7 @@
 		if (!view.enginesReachable()) {
 			return;
 		}
-		Optional<LeaseEvent> restoration = this.leaseExecutor.checkEra();
-		restoration.ifPresent((event) -> {
-			applyLeaseEvent(event);
-			this.recordReadDue = true;
-		});
+		applyRestorations();
 		long nowNanos = this.clocks.get().monotonicNanos();
 		List<ServicePlan> plans = view.profiles()
 			.entrySet()
@@ -187,6 +197,19 @@
 		}
 	}
 
+	private void applyRestorations() {
+		OptionalLong siblingRestored = this.siblingRestoredNanos;
+		if (siblingRestored.isPresent()) {
+			this.siblingRestoredNanos = OptionalLong.empty();
+			applyLeaseEvent(new LeaseEvent.StoreRestored(), siblingRestored.getAsLong());
+			this.recordReadDue = true;
+		}
+		this.leaseExecutor.checkEra().ifPresent((event) -> {
+			applyLeaseEvent(event);
+			this.recordReadDue = true;
+		});
+	}
+
 	// Tells whether capacity is missing because engines are, or because they are empty.
 	private static void log(ServicePlan plan) {
 		logger.atInfo()
@@ -265,9 +288,12 @@
 	}
 
 	private Optional<LeaseAction> applyLeaseEvent(LeaseEvent event) {
+		return applyLeaseEvent(event, this.clocks.get().monotonicNanos());
+	}
+
+	private Optional<LeaseAction> applyLeaseEvent(LeaseEvent event, long nowNanos) {
 		boolean wasHeld = this.leaseState.grant().isPresent();
-		Transition<LeaseState, LeaseAction> transition = this.lease.next(this.leaseState, event,
-				this.clocks.get().monotonicNanos());
+		Transition<LeaseState, LeaseAction> transition = this.lease.next(this.leaseState, event, nowNanos);
 		this.leaseState = transition.state();
 		if (wasHeld != this.leaseState.grant().isPresent()) {
 			logger.atInfo()
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/PlacementRunnerTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/PlacementRunnerTest.java
@@ -186,6 +186,28 @@
 		assertThat(this.orders).isEqualTo(1);
 	}
 
+	/**
+	 * Pattern: a daemon starts 1 s after the store came back without the record of a
+	 * lease. Fails if it orders while the holder of that lease may still do so, or later
+	 * than needed.
+	 */
+	@Test
+	void ordersNothingWhileHolderOfLostLeaseMayAct() throws Exception {
+		PlacementRunner placementRunner = runnerWith(new GrantingLeaseStore(), new CountingPlacementClient(0));
+		this.nowNanos = Duration.ofMinutes(1).toNanos();
+		Duration restoredAgo = Duration.ofSeconds(1);
+		placementRunner.awaitFormerHolder(restoredAgo);
+		long orderableNanos = this.nowNanos + PlacementRunner.LEASE_DURATION.minus(restoredAgo).toNanos();
+		while (this.nowNanos < orderableNanos) {
+			placementRunner.planAndOrder();
+			this.nowNanos += PLANNING_PERIOD_NANOS;
+		}
+		assertThat(this.orders).isEqualTo(0);
+		this.nowNanos += PLANNING_PERIOD_NANOS;
+		placementRunner.planAndOrder();
+		assertThat(this.orders).isEqualTo(1);
+	}
+
 	/** Grants each lease. */
 	private static final class GrantingLeaseStore implements LeaseStore {
 
