Fix events without an id passed on without end as a success

Streams with such data were never sent elsewhere.

An event without an id counted as progress until the first id, and after it was passed on without limit.

Data without a numeric id is now no event and ends the attempt, which may go on at another engine. Comments and fields without data are passed on with the next event, or at the end of the stream, so that nothing of them reaches the client if no event follows; 64 KB without an event end the attempt, 256 KB before. A comment between two events of a sound engine arrives later than before, and in the same order.

Evidence: 2 new cases of failsStreamWithoutFirstEvent, 5 of rejectsTextThatIsNoEvent, and failsStreamThatGoesOnWithoutEvents need the change.

--- a/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/engine/EventStream.java
@@ -12,6 +12,36 @@
  * Splits a stream of server-sent events into complete events, so that a stream that is
  * interrupted in the middle of an event can be resumed from another engine. Not
  * thread-safe.
+ * <p>
+ * An event ends with a blank line. Each event of an engine has an id that is a number:
+ *
+ * <table>
+ * <caption>What becomes of the text up to a blank line</caption>
+ * <tr>
+ * <th>text</th>
+ * <th>treated as</th>
+ * </tr>
+ * <tr>
+ * <td>fields with an id that is the next one</td>
+ * <td>the next event</td>
+ * </tr>
+ * <tr>
+ * <td>fields with the id of an earlier event</td>
+ * <td>dropped</td>
+ * </tr>
+ * <tr>
+ * <td>fields with a later id</td>
+ * <td>a gap</td>
+ * </tr>
+ * <tr>
+ * <td>comments, or fields without an id and without data</td>
+ * <td>a part of the next event, or of the end of the stream</td>
+ * </tr>
+ * <tr>
+ * <td>data without a numeric id, or lines that are no fields</td>
+ * <td>invalid</td>
+ * </tr>
+ * </table>
  */
 public final class EventStream {
 
@@ -20,7 +50,7 @@
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
-	private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
+	private static final byte[] DATA_NAME = "data".getBytes(StandardCharsets.US_ASCII);
 
 	private static final List<byte[]> KNOWN_NAMES = Stream.of("data", "event", "id", "retry")
 		.map((name) -> name.getBytes(StandardCharsets.US_ASCII))
@@ -28,14 +58,16 @@
 
 	private static final byte[] EMPTY = {};
 
+	/** What has not been passed on: text without an id, and an incomplete event. */
 	private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
 
+	/** The number of bytes at the start of the buffer that end with a blank line. */
+	private int heldBytes;
+
 	private OptionalLong lastId;
 
 	private long numberedEvents;
 
-	private long unnumberedEvents;
-
 	private boolean sequenceGap;
 
 	private boolean invalidEvent;
@@ -60,18 +92,22 @@
 		byte[] bytes = this.buffer.toByteArray();
 		ByteArrayOutputStream complete = new ByteArrayOutputStream();
 		int start = 0;
-		for (int end = eventEnd(bytes, start); end > 0; end = eventEnd(bytes, start)) {
-			if (!isEvent(bytes, start, end)) {
+		int textStart = this.heldBytes;
+		for (int end = eventEnd(bytes, textStart); end > 0; end = eventEnd(bytes, textStart)) {
+			OptionalLong id = parseId(bytes, textStart, end);
+			if (!isValid(bytes, textStart, end, id)) {
 				this.invalidEvent = true;
 				break;
 			}
-			OptionalLong id = parseId(bytes, start, end);
-			this.unnumberedEvents += (id.isEmpty() && hasField(bytes, start, end, DATA_FIELD)) ? 1 : 0;
-			if (advanceTo(id)) {
-				complete.write(bytes, start, end - start);
+			if (id.isPresent()) {
+				if (advanceTo(id.getAsLong())) {
+					complete.write(bytes, start, end - start);
+				}
+				start = end;
 			}
-			start = end;
+			textStart = end;
 		}
+		this.heldBytes = textStart - start;
 		if (start > 0) {
 			this.buffer.reset();
 			this.buffer.write(bytes, start, bytes.length - start);
@@ -79,21 +115,41 @@
 		return (complete.size() > 0) ? complete.toByteArray() : EMPTY;
 	}
 
+	/**
+	 * Returns the text without an id after the last event, such as a comment, at the end
+	 * of the stream.
+	 * @return the text, which is no longer part of this stream; may be empty
+	 */
+	public byte[] takeTrailingText() {
+		byte[] text = Arrays.copyOf(this.buffer.toByteArray(), this.heldBytes);
+		dropPartialEvent();
+		return text;
+	}
+
 	/**
 	 * Discards what an interrupted stream left behind: an incomplete or invalid event,
 	 * and the record of a gap.
 	 */
 	public void dropPartialEvent() {
 		this.buffer = new ByteArrayOutputStream();
+		this.heldBytes = 0;
 		this.sequenceGap = false;
 		this.invalidEvent = false;
 	}
 
 	/**
-	 * Returns the number of bytes after the last complete event.
-	 * @return the number of bytes, 0 if the stream ended after a complete event
+	 * Returns the number of bytes after the last blank line.
+	 * @return the number of bytes, 0 if the stream does not end inside an event
 	 */
 	public int partialEventBytes() {
+		return this.buffer.size() - this.heldBytes;
+	}
+
+	/**
+	 * Returns the number of bytes that are kept in memory.
+	 * @return the number of bytes that were not passed on
+	 */
+	public int bufferedBytes() {
 		return this.buffer.size();
 	}
 
@@ -102,7 +158,7 @@
 	 * @return true if no further bytes should be passed to this stream
 	 */
 	public boolean isEventOversized() {
-		return this.buffer.size() > MAX_EVENT_BYTES;
+		return partialEventBytes() > MAX_EVENT_BYTES;
 	}
 
 	/**
@@ -122,23 +178,6 @@
 		return this.numberedEvents;
 	}
 
-	/**
-	 * Returns whether the client has data of an event without a numeric id. Another
-	 * engine cannot go on after such an event, since it would send the data again.
-	 * @return true if this stream cannot be resumed
-	 */
-	public boolean hasUnnumberedData() {
-		return this.unnumberedEvents > 0;
-	}
-
-	/**
-	 * Returns the number of events with data and without a numeric id.
-	 * @return the number of events since this stream was created
-	 */
-	public long unnumberedEvents() {
-		return this.unnumberedEvents;
-	}
-
 	/**
 	 * Returns whether an event is missing.
 	 * @return true if an event arrived whose id is higher than the next expected one
@@ -157,29 +196,48 @@
 	}
 
 	// Returns whether each line is a comment, or a field with a name of letters, digits
-	// and hyphens, and one of them at least is known. Clients ignore fields of other
-	// names, so that lines without a known one are no event.
-	private static boolean isEvent(byte[] bytes, int start, int end) {
-		return hasValidNames(bytes, start, end) && hasKnownLine(bytes, start, end);
+	// and hyphens, one of them at least is known, and data has an id. Clients ignore
+	// fields of other names, so that lines without a known one are no event. Data without
+	// an id is not an event of an engine, and could not be resumed after.
+	private static boolean isValid(byte[] bytes, int start, int end, OptionalLong id) {
+		return hasValidNames(bytes, start, end) && hasKnownLine(bytes, start, end)
+				&& (id.isPresent() || !hasData(bytes, start, end));
+	}
+
+	private static boolean hasData(byte[] bytes, int start, int end) {
+		for (int lineStart = start; lineStart < end; lineStart = lineEnd(bytes, lineStart, end) + 1) {
+			int nameEnd = nameEnd(bytes, lineStart, end);
+			if (Arrays.equals(bytes, lineStart, nameEnd, DATA_NAME, 0, DATA_NAME.length)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static int nameEnd(byte[] bytes, int lineStart, int end) {
+		int nameEnd = lineStart;
+		while (nameEnd < end && bytes[nameEnd] != ':' && bytes[nameEnd] != '\r' && bytes[nameEnd] != '\n') {
+			nameEnd++;
+		}
+		return nameEnd;
+	}
+
+	private static int lineEnd(byte[] bytes, int lineStart, int end) {
+		int lineEnd = lineStart;
+		while (lineEnd < end && bytes[lineEnd] != '\n') {
+			lineEnd++;
+		}
+		return lineEnd;
 	}
 
 	private static boolean hasKnownLine(byte[] bytes, int start, int end) {
 		boolean blank = true;
-		int lineStart = start;
-		while (lineStart < end) {
-			int nameEnd = lineStart;
-			while (nameEnd < end && bytes[nameEnd] != ':' && bytes[nameEnd] != '\r' && bytes[nameEnd] != '\n') {
-				nameEnd++;
-			}
+		for (int lineStart = start; lineStart < end; lineStart = lineEnd(bytes, lineStart, end) + 1) {
+			int nameEnd = nameEnd(bytes, lineStart, end);
 			if (isKnownName(bytes, lineStart, nameEnd) || (nameEnd == lineStart && bytes[nameEnd] == ':')) {
 				return true;
 			}
 			blank &= nameEnd == lineStart;
-			int lineEnd = nameEnd;
-			while (lineEnd < end && bytes[lineEnd] != '\n') {
-				lineEnd++;
-			}
-			lineStart = lineEnd + 1;
 		}
 		return blank;
 	}
@@ -209,12 +267,8 @@
 		return true;
 	}
 
-	// Returns whether the event is passed on. Events without an id always are.
-	private boolean advanceTo(OptionalLong id) {
-		if (id.isEmpty()) {
-			return true;
-		}
-		long number = id.getAsLong();
+	// Returns whether the event is passed on.
+	private boolean advanceTo(long number) {
 		if (this.lastId.isPresent() && number <= this.lastId.getAsLong()) {
 			return false;
 		}
@@ -222,7 +276,7 @@
 			this.sequenceGap = true;
 			return false;
 		}
-		this.lastId = id;
+		this.lastId = OptionalLong.of(number);
 		this.numberedEvents++;
 		return true;
 	}
@@ -241,10 +295,6 @@
 		return -1;
 	}
 
-	private static boolean hasField(byte[] bytes, int start, int end, byte[] field) {
-		return fieldValue(bytes, start, end, field).isPresent();
-	}
-
 	// Returns the numeric id of the event between two indexes, or empty if it has none.
 	private static OptionalLong parseId(byte[] bytes, int start, int end) {
 		Optional<String> id = fieldValue(bytes, start, end, ID_FIELD);
@@ -255,10 +305,7 @@
 	private static Optional<String> fieldValue(byte[] bytes, int start, int end, byte[] field) {
 		int lineStart = start;
 		while (lineStart < end) {
-			int lineEnd = lineStart;
-			while (lineEnd < end && bytes[lineEnd] != '\n') {
-				lineEnd++;
-			}
+			int lineEnd = lineEnd(bytes, lineStart, end);
 			if (lineEnd - lineStart >= field.length
 					&& Arrays.equals(bytes, lineStart, lineStart + field.length, field, 0, field.length)) {
 				return Optional.of(new String(bytes, lineStart + field.length, lineEnd - lineStart - field.length,
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayAttempt.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 
 import org.mulberrycross.engine.EnginePath;
+import org.mulberrycross.engine.EventStream;
 import org.mulberrycross.engine.RequestTokens;
 import org.mulberrycross.engine.StreamPace;
 import org.mulberrycross.http.BodyFraming;
@@ -22,10 +23,11 @@
 final class RelayAttempt implements ResponseListener {
 
 	/**
-	 * Maximum number of bytes of a stream without a new event. An upstream in trouble may
-	 * send comments without end; sound ones send some bytes now and then.
+	 * Maximum number of bytes of a stream without a new event, which are kept in memory.
+	 * An upstream in trouble may send comments without end; sound ones send some bytes
+	 * now and then.
 	 */
-	static final int MAX_BYTES_WITHOUT_EVENT = 256 << 10;
+	static final int MAX_BYTES_WITHOUT_EVENT = EventStream.MAX_EVENT_BYTES;
 
 	private final RelayExchange exchange;
 
@@ -260,7 +262,7 @@
 			return;
 		}
 		RelayExchange.ForwardingResult result = this.exchange.forwardEvents(this, this.head, part);
-		if (!this.body.holdPartialEvent(this.exchange.partialEventBytes(this))) {
+		if (!this.body.holdPartialEvent(this.exchange.bufferedBytes(this))) {
 			abort("incomplete events of all streams take too much memory");
 			return;
 		}
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayExchange.java
@@ -273,9 +273,9 @@
 	}
 
 	// Returns whether another attempt may go on with the response: the client has nothing
-	// yet, or only events after which a stream can be resumed.
+	// yet, or events of a stream, after which it can be resumed since each has an id.
 	synchronized boolean isResumable() {
-		return !isResponseStarted() || (isStream() && !this.eventStream.hasUnnumberedData());
+		return !isResponseStarted() || isStream();
 	}
 
 	// Returns whether an answer with this head may be, or go on with, the response to the
@@ -296,7 +296,6 @@
 			return ForwardingResult.NO_PROGRESS;
 		}
 		OptionalLong previousId = this.eventStream.lastId();
-		long unnumberedEvents = this.eventStream.unnumberedEvents();
 		byte[] completeEvents = this.eventStream.extractEvents(part);
 		if (completeEvents.length > 0) {
 			startResponse(new ResponseHead(head.status(), head.headers(), OptionalLong.empty()));
@@ -311,14 +310,13 @@
 		if (this.eventStream.isEventOversized()) {
 			return ForwardingResult.OVERSIZED_EVENT;
 		}
-		boolean newId = !this.eventStream.lastId().equals(previousId);
-		boolean unnumberedEvent = previousId.isEmpty() && this.eventStream.unnumberedEvents() > unnumberedEvents;
-		return (newId || unnumberedEvent) ? ForwardingResult.PROGRESS : ForwardingResult.NO_PROGRESS;
+		return this.eventStream.lastId().equals(previousId) ? ForwardingResult.NO_PROGRESS : ForwardingResult.PROGRESS;
 	}
 
-	// Returns the size of the incomplete event, 0 if the attempt may not write.
-	synchronized int partialEventBytes(RelayAttempt attempt) {
-		return mayWrite(attempt) ? this.eventStream.partialEventBytes() : 0;
+	// Returns the size of what waits for the end of an event, 0 if the attempt may not
+	// write.
+	synchronized int bufferedBytes(RelayAttempt attempt) {
+		return mayWrite(attempt) ? this.eventStream.bufferedBytes() : 0;
 	}
 
 	// Releases the memory of an incomplete event that will not be completed.
@@ -338,6 +336,10 @@
 			return false;
 		}
 		startResponse(new ResponseHead(head.status(), head.headers(), OptionalLong.empty()));
+		byte[] trailingText = this.eventStream.takeTrailingText();
+		if (trailingText.length > 0) {
+			this.response.write(trailingText);
+		}
 		this.response.end();
 		return true;
 	}
--- a/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/engine/EventStreamTest.java
@@ -6,7 +6,6 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -51,14 +50,17 @@
 
 	/**
 	 * Fails if the head or the text of an error that an engine writes into its stream is
-	 * passed on as an event, or if a comment or an event without an id is not.
+	 * passed on as an event, or data without an id, or if a comment or a field without
+	 * data is not passed on with the next event.
 	 */
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\n", "{\"error\":1}\n\n",
-			"<html>\n\n", "internal error at line 7\n\n", "id: 3\nno such layer\n\n", "0123456789\n\n", "a: b\nc\n\n" })
+			"<html>\n\n", "internal error at line 7\n\n", "id: 3\nno such layer\n\n", "0123456789\n\n", "a: b\nc\n\n",
+			"data: 0123456789\n\n", "data\n\n", "id: x\ndata: a\n\n", "id: 99999999999999999999\ndata: a\n\n",
+			"event: e\ndata: a\n\n" })
 	void rejectsTextThatIsNoEvent(String text) {
 		EventStream stream = new EventStream(OptionalLong.empty());
-		byte[] sound = bytes(events(1, 3) + ": wait\n\nretry: 10\n\ndata\n\n");
+		byte[] sound = bytes(events(1, 3) + ": wait\n\nretry: 10\n\n" + events(3, 4));
 		assertThat(stream.extractEvents(sound)).isEqualTo(sound);
 		assertThat(stream.hasInvalidEvent()).isFalse();
 		assertThat(stream.extractEvents(bytes(text))).isEmpty();
@@ -104,16 +106,30 @@
 	}
 
 	/**
-	 * Fails if a stream is resumed after data without an id that a number can hold, so
-	 * that the client gets the data once more.
+	 * Pattern: an engine in trouble sends comments or fields without data, without end.
+	 * Fails if the client gets any of them before an event follows.
 	 */
 	@ParameterizedTest
-	@CsvSource({ "'id: 1\ndata: a\n\n', false", "': wait\n\n', false", "'retry: 10\n\n', false", "'data: a\n\n', true",
-			"'id: 99999999999999999999\ndata: a\n\n', true", "'id: x\ndata: a\n\n', true" })
-	void dataWithoutIdCannotBeResumed(String event, boolean unnumbered) {
+	@ValueSource(strings = { ": wait\n\n", "retry: 10\n\n", "event: e\n\n", "\n\n", ": wait\r\n\r\n" })
+	void textWithoutIdIsPassedOnWithTheNextEvent(String text) {
 		EventStream stream = new EventStream(OptionalLong.empty());
-		stream.extractEvents(bytes(event));
-		assertThat(stream.hasUnnumberedData()).isEqualTo(unnumbered);
+		assertThat(stream.extractEvents(bytes(text + text.substring(0, 1)))).isEmpty();
+		assertThat(stream.extractEvents(bytes(text.substring(1)))).isEmpty();
+		assertThat(stream.partialEventBytes()).isEqualTo(0);
+		assertThat(stream.bufferedBytes()).isEqualTo(2 * text.length());
+		byte[] passedOn = stream.extractEvents(bytes(events(1, 2) + text));
+		assertThat(passedOn).isEqualTo(bytes(text + text + events(1, 2)));
+		assertThat(stream.takeTrailingText()).isEqualTo(bytes(text));
+		assertThat(stream.bufferedBytes()).isEqualTo(0);
+	}
+
+	/** Fails if what one engine sent without an event is merged with what follows. */
+	@Test
+	void textOfInterruptedStreamIsDropped() {
+		EventStream stream = new EventStream(OptionalLong.empty());
+		stream.extractEvents(bytes(events(1, 2) + ": wait\n\n"));
+		stream.dropPartialEvent();
+		assertThat(stream.extractEvents(bytes(events(2, 3)))).isEqualTo(bytes(events(2, 3)));
 	}
 
 }
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayAttemptTest.java
@@ -119,12 +119,14 @@
 	}
 
 	/**
-	 * Pattern: an engine in trouble answers with lines that are no events, or with
-	 * comments or empty events, without end. Fails if they count as progress until the
-	 * first event, so that they are passed on until the client gives up.
+	 * Pattern: an engine in trouble answers with lines that are no events, with comments
+	 * or empty events, or with data without ids, without end (review/9). Fails if they
+	 * count as progress until the first event, so that they are passed on until the
+	 * client gives up, or if the client gets any of them.
 	 */
 	@ParameterizedTest
-	@ValueSource(strings = { "0123456789\n\n", ": comment\n\n", "event: x\n\n", "retry: 1\n\n", "\n\n" })
+	@ValueSource(strings = { "0123456789\n\n", ": comment\n\n", "event: x\n\n", "retry: 1\n\n", "\n\n",
+			"data: 0123456789\n\n", "id: x\ndata: 0\n\n" })
 	void failsStreamWithoutFirstEvent(String text) {
 		RelayAttempt attempt = startAttempt(RouteKind.STREAM);
 		byte[] part = text.repeat(100).getBytes(StandardCharsets.UTF_8);
@@ -132,6 +134,21 @@
 			attempt.onData(part);
 		}
 		assertThat(this.failures).hasSize(1);
+		assertThat(this.writer.written()).isEmpty();
+	}
+
+	/** Fails if the same text after an event keeps the stream alive or is passed on. */
+	@ParameterizedTest
+	@ValueSource(strings = { "0123456789\n\n", ": comment\n\n", "retry: 1\n\n", "data: 0123456789\n\n" })
+	void failsStreamThatGoesOnWithoutEvents(String text) {
+		RelayAttempt attempt = startAttempt(RouteKind.STREAM);
+		attempt.onData("id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+		byte[] part = text.repeat(100).getBytes(StandardCharsets.UTF_8);
+		for (int bytes = 0; bytes <= 2 * RelayAttempt.MAX_BYTES_WITHOUT_EVENT; bytes += part.length) {
+			attempt.onData(part);
+		}
+		assertThat(this.failures).hasSize(1);
+		assertThat(this.writer.written()).containsExactly("start 200", "write").inOrder();
 	}
 
 	/**
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayExchangeTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/RelayExchangeTest.java
@@ -84,17 +84,19 @@
 	}
 
 	/**
-	 * Fails if another attempt goes on after data without an id, which the client would
-	 * get once more.
+	 * Fails if data without an id is passed on: the client would get it once more from
+	 * the attempt that goes on.
 	 */
 	@Test
-	void streamWithUnnumberedDataIsNotResumed() {
+	void dataWithoutIdIsNotPassedOn() {
 		this.exchange.admit(streamRule(), Optional.empty());
 		RelayAttempt attempt = startAttempt();
 		this.exchange.forwardEvents(attempt, HEAD, EVENT);
 		assertThat(this.exchange.isResumable()).isTrue();
-		this.exchange.forwardEvents(attempt, HEAD, "data: b\n\n".getBytes(StandardCharsets.UTF_8));
-		assertThat(this.exchange.isResumable()).isFalse();
+		assertThat(this.exchange.forwardEvents(attempt, HEAD, "data: b\n\n".getBytes(StandardCharsets.UTF_8)))
+			.isEqualTo(RelayExchange.ForwardingResult.INVALID_EVENT);
+		assertThat(this.writer.written()).containsExactly("start 200", "write").inOrder();
+		assertThat(this.exchange.isResumable()).isTrue();
 	}
 
 	private static RouteRule streamRule() {
