Fix requests ended while the only instance that can serve them is silent

Callers of plain services got 502 while a sound instance was silent for a second and their deadlines were seconds away, if no other instance was left for the request.

Related: an attempt was also given up when less than 30 ms were left, in which no other is sent, and when the request holds a part of a prompt that is not sent again, so that its retry is denied.

An attempt is now given up for silence only if the request could be sent once more: to an upstream, or a path, without those that have failed it, are stalled or are silent, in the time that is left, within the retry budget. Requests at a sibling can be passed on once more.

A silent machine is one whose connections live on, so that refusing a connection for 0.3 s still ends an attempt, with the true word that the request has not run.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/AttemptMonitor.java
@@ -47,7 +47,7 @@
 
 	private final Predicate<RelayExchange> mayRetry;
 
-	private final OtherPaths otherPaths;
+	private final Alternatives alternatives;
 
 	private final FailureHandler failureHandler;
 
@@ -59,7 +59,7 @@
 
 	AttemptMonitor(ControlThread controlThread, UpstreamDirectory directory, UpstreamHealth health,
 			EngineSlowdowns slowdowns, EngineProber prober, InFlightRequests inFlight,
-			Predicate<RelayExchange> mayRetry, OtherPaths otherPaths, FailureHandler failureHandler,
+			Predicate<RelayExchange> mayRetry, Alternatives alternatives, FailureHandler failureHandler,
 			EarlyMoves earlyMoves) {
 		this.controlThread = controlThread;
 		this.directory = directory;
@@ -68,7 +68,7 @@
 		this.prober = prober;
 		this.inFlight = inFlight;
 		this.mayRetry = mayRetry;
-		this.otherPaths = otherPaths;
+		this.alternatives = alternatives;
 		this.failureHandler = failureHandler;
 		this.earlyMoves = earlyMoves;
 	}
@@ -115,14 +115,22 @@
 			return;
 		}
 		attempt.forwarding().path().ifPresent((path) -> probePath(exchange, attempt, path, nowNanos));
-		if (AttemptTimeouts.isResponseOverdue(exchange, attempt, nowNanos) && this.mayRetry.test(exchange)) {
-			// On a path, any engine may be the cause; stall reports identify it.
-			Set<String> faultyIds = attempt.forwarding().path().isPresent() ? Set.of()
-					: Set.of(attempt.forwarding().upstream().id());
+		// On a path, any engine may be the cause; stall reports identify it.
+		Set<String> faultyIds = attempt.forwarding().path().isPresent() ? Set.of()
+				: Set.of(attempt.forwarding().upstream().id());
+		if (AttemptTimeouts.isResponseOverdue(exchange, attempt, nowNanos)
+				&& maySendElsewhere(attempt, faultyIds, nowNanos)) {
 			this.failureHandler.fail(attempt, faultyIds, "silent for too long", true);
 		}
 	}
 
+	// An upstream that is silent for a second may go on, so that a request without
+	// another
+	// upstream waits for it.
+	private boolean maySendElsewhere(RelayAttempt attempt, Set<String> avoidedIds, long nowNanos) {
+		return this.mayRetry.test(attempt.exchange()) && this.alternatives.exist(attempt, avoidedIds, nowNanos);
+	}
+
 	private void probePath(RelayExchange exchange, RelayAttempt attempt, EnginePath path, long nowNanos) {
 		if (AttemptTimeouts.shouldProbe(attempt, nowNanos)) {
 			this.prober.probe(path.firstEngine(), MIN_STALL_PROBE_INTERVAL, nowNanos, this::handleStallReport);
@@ -160,30 +168,30 @@
 		this.controlThread.post(() -> stalled.forEach((address) -> ejectStalledEngine(service, address)));
 	}
 
-	// Ejects a stalled engine and retries the requests whose paths contain it, except
-	// those that have no other path: an engine that is silent for a second may go on.
+	// Ejects a stalled engine and retries the requests whose paths contain it.
 	private void ejectStalledEngine(String service, Address address) {
 		Optional<String> id = this.directory.findByAddress(service, address).map((entry) -> entry.instance().id());
 		if (id.isEmpty()) {
 			return;
 		}
-		this.health.recordStall(id.get(), System.nanoTime());
+		long nowNanos = System.nanoTime();
+		this.health.recordStall(id.get(), nowNanos);
 		for (RelayExchange exchange : this.inFlight.snapshot()) {
 			RelayAttempt attempt = exchange.currentAttempt();
 			if (attempt != null && !exchange.isFinished() && attempt.upstreamIds().contains(id.get())
-					&& this.mayRetry.test(exchange)
-					&& this.otherPaths.existsWithout(id.get(), exchange, service, System.nanoTime())) {
+					&& maySendElsewhere(attempt, Set.of(id.get()), nowNanos)) {
 				this.failureHandler.fail(attempt, Set.of(id.get()), "engine " + id.get() + " is stalled",
 						attempt.wasSent());
 			}
 		}
 	}
 
-	/** Tells whether a request has another path. */
+	/** Tells whether the request of an attempt could be sent to other upstreams. */
 	@FunctionalInterface
-	interface OtherPaths {
+	interface Alternatives {
 
-		boolean existsWithout(String engineId, RelayExchange exchange, String service, long nowNanos);
+		// Returns whether it could without those to avoid.
+		boolean exist(RelayAttempt attempt, Set<String> avoidedIds, long nowNanos);
 
 	}
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RelayControl.java
@@ -127,7 +127,7 @@
 				new WaitingRequests.Upstreams(this::room, this::sendOrReject), this.inFlight::fail, metrics, clock,
 				random);
 		this.attemptMonitor = new AttemptMonitor(controlThread, this.directory, this.health, this.slowdowns,
-				engineProber, this.inFlight, this.retryPolicy::mayRetry, this.selector::hasPathWithout,
+				engineProber, this.inFlight, this.retryPolicy::mayRetry, this.selector::hasAlternative,
 				this::handleFailedAttempt, this.earlyMoves);
 		this.crashTracker = new CrashTracker(clock,
 				(engine, onResult) -> engineProber.probe(engine, Duration.ZERO, clock.nanos(),
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestDispatcher.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RequestDispatcher.java
@@ -18,7 +18,7 @@
 final class RequestDispatcher {
 
 	/** Minimum time before the deadline for an attempt to be worth sending. */
-	private static final Duration MIN_REMAINING_TIME = Duration.ofMillis(30);
+	static final Duration MIN_REMAINING_TIME = Duration.ofMillis(30);
 
 	private final String daemonName;
 
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryPolicy.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/RetryPolicy.java
@@ -84,7 +84,7 @@
 	// Returns whether a retry is possible. A late response alone is no reason to fail a
 	// request, so without a possible retry the attempt continues.
 	boolean mayRetry(RelayExchange exchange) {
-		return mayExecuteAgain(exchange) && exchange.attempts() < MAX_ATTEMPTS && exchange.isResumable()
+		return mayExecuteAgain(exchange) && mayTryAgain(exchange) && !this.suspected.test(exchange)
 				&& this.budgets.hasRetry(exchange.rule(), this.clock.nanos());
 	}
 
@@ -93,7 +93,7 @@
 	// no room either, and one with a part that has crashed engines would not be retried.
 	boolean mayMove(RelayExchange exchange, int movesUnderWay) {
 		return mayRetry(exchange) && this.budgets.hasOptionalRetry(exchange.rule(),
-				1 + movesUnderWay / MOVES_PER_SPARE_RETRY, this.clock.nanos()) && !this.suspected.test(exchange);
+				1 + movesUnderWay / MOVES_PER_SPARE_RETRY, this.clock.nanos());
 	}
 
 }
--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/UpstreamSelector.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -157,16 +158,35 @@
 			.findFirst();
 	}
 
-	// Returns whether a request that runs on a path of engines could run on one without a
-	// certain engine, and without those that have failed it or are stalled.
-	boolean hasPathWithout(String engineId, RelayExchange exchange, String service, long nowNanos) {
-		List<EngineInstance> others = this.eligible.entries(service, nowNanos)
+	// Returns whether the request of an attempt could be sent once more in time, to
+	// upstreams that have not failed it, are not stalled and are not among those to
+	// avoid. One that is at a sibling can be passed on once more.
+	boolean hasAlternative(RelayAttempt attempt, Set<String> avoidedIds, long nowNanos) {
+		RelayExchange exchange = attempt.exchange();
+		if (attempt.sibling().isPresent()) {
+			return true;
+		}
+		return exchange.remainingTime(nowNanos).compareTo(RequestDispatcher.MIN_REMAINING_TIME) >= 0 && exchange.rule()
+			.services()
+			.stream()
+			.filter((split) -> split.weight() > 0)
+			.allMatch((split) -> hasAlternative(exchange, split.service(), avoidedIds, nowNanos));
+	}
+
+	private boolean hasAlternative(RelayExchange exchange, String service, Set<String> avoidedIds, long nowNanos) {
+		List<DirectoryEntry> others = this.eligible.entries(service, nowNanos)
 			.stream()
+			.filter((entry) -> !avoidedIds.contains(entry.instance().id())
+					&& !exchange.failedUpstreams().contains(entry.instance().id()))
+			.toList();
+		if (!this.pathFinders.containsKey(service)) {
+			return !others.isEmpty();
+		}
+		List<EngineInstance> engines = others.stream()
 			.flatMap((entry) -> entry.engine().stream())
-			.filter((engine) -> !engine.id().equals(engineId) && !exchange.failedUpstreams().contains(engine.id())
-					&& !this.health.isStalled(engine.id(), nowNanos))
+			.filter((engine) -> !this.health.isStalled(engine.id(), nowNanos))
 			.toList();
-		return findPath(service, requestTokens(exchange, service), others, nowNanos).isPresent();
+		return findPath(service, requestTokens(exchange, service), engines, nowNanos).isPresent();
 	}
 
 	private Optional<EnginePath> findPath(String service, RequestTokens tokens, List<EngineInstance> engines,
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/UpstreamSelectorTest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import com.codahale.metrics.MetricRegistry;
@@ -201,14 +202,39 @@
 	 */
 	@Test
 	void findsPathWithoutStalledEngine() {
-		assertThat(this.selector.hasPathWithout("second", this.exchange, "model", 0)).isFalse();
+		RelayAttempt attempt = attempt(this.exchange);
+		assertThat(hasAlternative(attempt, "second")).isFalse();
 		put("other", 5, 10, 134);
-		assertThat(this.selector.hasPathWithout("second", this.exchange, "model", 0)).isTrue();
+		assertThat(hasAlternative(attempt, "second")).isTrue();
 		this.health.recordStall("other", 0);
-		assertThat(this.selector.hasPathWithout("second", this.exchange, "model", 0)).isFalse();
+		assertThat(hasAlternative(attempt, "second")).isFalse();
 		put("third", 5, 10, 134);
 		this.exchange.failedUpstreams().add("third");
-		assertThat(this.selector.hasPathWithout("second", this.exchange, "model", 0)).isFalse();
+		assertThat(hasAlternative(attempt, "second")).isFalse();
+	}
+
+	/**
+	 * Pattern: the only instance of a plain service is silent for a second, or a request
+	 * has no time left for another one. Fails if an instance is seen that cannot serve
+	 * the request, so that it is ended instead of going on.
+	 */
+	@Test
+	void findsOtherInstanceOfPlainService() {
+		this.selector.configure(new ServingConfiguration(2, RouteTable.of(List.of(RULE)), Optional.empty(), Map.of(),
+				Map.of("model", "/"), new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1))));
+		RelayAttempt attempt = attempt(this.exchange);
+		String silent = attempt.forwarding().upstream().id();
+		String other = silent.equals("first") ? "second" : "first";
+		assertThat(hasAlternative(attempt, silent)).isTrue();
+		long closeToDeadlineNanos = this.exchange.arrivedAt().monotonicNanos()
+				+ RULE.timeout().minus(RequestDispatcher.MIN_REMAINING_TIME).toNanos() + 1;
+		assertThat(this.selector.hasAlternative(attempt, Set.of(silent), closeToDeadlineNanos)).isFalse();
+		this.exchange.failedUpstreams().add(other);
+		assertThat(hasAlternative(attempt, silent)).isFalse();
+	}
+
+	private boolean hasAlternative(RelayAttempt attempt, String avoidedId) {
+		return this.selector.hasAlternative(attempt, Set.of(avoidedId), 0);
 	}
 
 	/**
