Release the first configuration 0.2 s after the first answer of a sibling

A daemon that starts waited for all siblings that it asks.

Siblings that run answer within a round trip; answers that come later are still applied. Evidence: silentSiblingDelaysNoStart, played without a network.

--- a/mulberrycross/src/main/java/org/mulberrycross/router/relay/ConfigurationSync.java
+++ b/mulberrycross/src/main/java/org/mulberrycross/router/relay/ConfigurationSync.java
@@ -36,6 +36,12 @@
 	 */
 	static final Duration MAX_HOLD = Duration.ofSeconds(1);
 
+	/**
+	 * Time after the first answer for which the first version is held back. Siblings that
+	 * run answer within a round trip, and addresses of those that are gone not at all.
+	 */
+	static final Duration ANSWER_WAIT = Duration.ofMillis(200);
+
 	/** Pause after a round of queries that no sibling has answered. */
 	static final Duration RETRY_PERIOD = Duration.ofMillis(250);
 
@@ -79,6 +85,9 @@
 	/** When the first version became known. */
 	private OptionalLong heldSinceNanos = OptionalLong.empty();
 
+	/** When the first sibling answered, empty until one has. */
+	private OptionalLong answeredNanos = OptionalLong.empty();
+
 	/** When the next round of queries is due, empty if none is. */
 	private OptionalLong roundDueNanos = OptionalLong.empty();
 
@@ -169,8 +178,10 @@
 	// Asks the siblings if it is time, and stops holding versions back after a time.
 	void check() {
 		long nowNanos = this.clock.nanos();
-		if (this.holding && this.heldSinceNanos.isPresent()
-				&& nowNanos - this.heldSinceNanos.getAsLong() >= MAX_HOLD.toNanos()) {
+		if (hasPassed(ANSWER_WAIT, this.answeredNanos, nowNanos)) {
+			release("siblings have answered");
+		}
+		if (hasPassed(MAX_HOLD, this.heldSinceNanos, nowNanos)) {
 			release("no sibling has answered in time");
 		}
 		boolean due = this.roundDueNanos.isPresent() && nowNanos - this.roundDueNanos.getAsLong() >= 0;
@@ -181,6 +192,10 @@
 		startRound();
 	}
 
+	private static boolean hasPassed(Duration time, OptionalLong sinceNanos, long nowNanos) {
+		return sinceNanos.isPresent() && nowNanos - sinceNanos.getAsLong() >= time.toNanos();
+	}
+
 	private void startRound() {
 		List<Sibling> others = new ArrayList<>(this.siblings.orElseThrow());
 		if (others.isEmpty()) {
@@ -202,6 +217,9 @@
 
 	private void handleAnswer(Sibling sibling, SiblingAnswer answer) {
 		this.answered = true;
+		if (this.answeredNanos.isEmpty()) {
+			this.answeredNanos = OptionalLong.of(this.clock.nanos());
+		}
 		if (this.restoredNanos.isEmpty()) {
 			answer.restoredAgo().ifPresent(this.restorationListener);
 		}
--- a/mulberrycross/src/test/java/org/mulberrycross/router/relay/ConfigurationSyncTest.java
+++ b/mulberrycross/src/test/java/org/mulberrycross/router/relay/ConfigurationSyncTest.java
@@ -112,6 +112,23 @@
 		assertThat(this.applied).containsExactly(5L, 7L).inOrder();
 	}
 
+	/**
+	 * Pattern: entries of machines that are gone stay listed, and their addresses are
+	 * silent. Fails if each start waits for them, or not for siblings that run.
+	 */
+	@Test
+	void silentSiblingDelaysNoStart() {
+		this.sync.updateSiblings(SIBLINGS);
+		this.sync.update(List.of(version(5)));
+		this.queries.get(0).onAnswer().accept(answer(Optional.empty()));
+		pass(ConfigurationSync.ANSWER_WAIT.minusMillis(1));
+		assertThat(this.applied).isEmpty();
+		pass(Duration.ofMillis(1));
+		assertThat(this.applied).containsExactly(5L);
+		this.queries.get(1).onAnswer().accept(answer(Optional.of(7L)));
+		assertThat(this.applied).containsExactly(5L, 7L).inOrder();
+	}
+
 	/** Fails if siblings that never answer are asked for good. */
 	@Test
 	void askingEnds() {
